Add the build, the shared types and the rewritten design page

Change: Maven workspace of seven modules with formatter, Checkstyle, Error Prone and NullAway; result types, identifiers, the ports to the key-value service and to peers, and the messages between nodes; the design page in plain terms. Conclusion: base for the thin path.

--- /dev/null
+++ b/core/src/main/java/org/carobdoor/Failure.java
@@ -0,0 +1,17 @@
+package org.carobdoor;
+
+/**
+ * Describes why an operation failed, at which step, and which peer was involved.
+ *
+ * @param kind what is known about the effect of the failed operation
+ * @param step the step that failed, for example {@code "claim.write"}
+ * @param peer the address or identifier of the other side, or {@code "local"}
+ * @param detail what happened, for a person to read
+ */
+public record Failure(FailureKind kind, String step, String peer, String detail) {
+
+    @Override
+    public String toString() {
+        return step + " at " + peer + ": " + detail + " (" + kind + ")";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/MembershipListener.java
@@ -0,0 +1,9 @@
+package org.carobdoor;
+
+/** Is told of changes of membership. */
+@FunctionalInterface
+public interface MembershipListener {
+
+    /** Called after the state of {@code member} has changed to {@code member.state()}. */
+    void onChange(Member member);
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/NodeId.java
@@ -0,0 +1,26 @@
+package org.carobdoor;
+
+import org.carobdoor.internal.Preconditions;
+
+/**
+ * Identifies one run of the daemon on an entry VM.
+ *
+ * @param value unique among all nodes; a restarted daemon gets a new one
+ */
+public record NodeId(String value) implements Comparable<NodeId> {
+
+    /** Checks that the identifier is not blank. */
+    public NodeId {
+        Preconditions.checkNotBlank(value, "NodeId");
+    }
+
+    @Override
+    public int compareTo(NodeId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/PeerHandler.java
@@ -0,0 +1,17 @@
+package org.carobdoor;
+
+import org.carobdoor.message.PeerMessage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Handles messages of one type that arrive from peers. Called on a virtual thread of its own, so it
+ * may block.
+ *
+ * @param <M> the type of the messages
+ */
+@FunctionalInterface
+public interface PeerHandler<M extends PeerMessage> {
+
+    /** Handles {@code message} and returns the reply, or null if there is none. */
+    @Nullable PeerMessage handle(NodeId from, M message);
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/Rendezvous.java
@@ -0,0 +1,54 @@
+package org.carobdoor.internal;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * Ranks candidates for a key by rendezvous hashing: all nodes that know the same candidates rank
+ * them the same, and a candidate that comes or goes moves only the keys it ranks first for.
+ *
+ * <pre>{@code
+ * List<Member> owners = Rendezvous.rank("claims/3", members, m -> m.id().value());
+ * }</pre>
+ *
+ * <p>Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+ */
+public final class Rendezvous {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private Rendezvous() {}
+
+    /** Returns {@code candidates} ordered by descending weight for {@code key}. */
+    public static <T> List<T> rank(
+            String key, Collection<T> candidates, Function<? super T, String> id) {
+        Comparator<T> byWeight =
+                (a, b) -> Long.compareUnsigned(weight(key, id.apply(b)), weight(key, id.apply(a)));
+        return candidates.stream().sorted(byWeight.thenComparing(id::apply)).toList();
+    }
+
+    /**
+     * Returns the weight of the candidate {@code id} for {@code key}, an unsigned 64-bit number.
+     */
+    public static long weight(String key, String id) {
+        return mix(hash(hash(FNV_OFFSET, key) ^ '|', id));
+    }
+
+    private static long hash(long seed, String text) {
+        long h = seed;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return h;
+    }
+
+    /** The 64-bit finalizer of MurmurHash3: FNV alone leaves the high bits poorly mixed. */
+    private static long mix(long h) {
+        long x = h;
+        x = (x ^ (x >>> 33)) * 0xff51afd7ed558ccdL;
+        x = (x ^ (x >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return x ^ (x >>> 33);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/message/ClaimMessage.java
@@ -0,0 +1,5 @@
+package org.carobdoor.message;
+
+/** A message about the claim of a call that may not be repeated. */
+public sealed interface ClaimMessage extends PeerMessage
+        permits ClaimReply, ClaimRequest, ClaimUpdate {}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/message/PeerMessage.java
@@ -0,0 +1,5 @@
+package org.carobdoor.message;
+
+/** A message between nodes. The {@code wire} module gives each one its encoding. */
+public sealed interface PeerMessage
+        permits ClaimMessage, LimitMessage, LoadMessage, Ping, Pong, ReplicaMessage, WorkMessage {}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/message/Pong.java
@@ -0,0 +1,4 @@
+package org.carobdoor.message;
+
+/** Answers a {@link Ping}. */
+public record Pong() implements PeerMessage {}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/message/WorkHandover.java
@@ -0,0 +1,16 @@
+package org.carobdoor.message;
+
+import java.util.List;
+
+/**
+ * Tells a copy holder to continue requests whose owner is leaving.
+ *
+ * @param requestIds the ids of the requests
+ */
+public record WorkHandover(List<String> requestIds) implements WorkMessage {
+
+    /** Copies the list. */
+    public WorkHandover {
+        requestIds = List.copyOf(requestIds);
+    }
+}
