--- /dev/null
+++ b/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
@@ -0,0 +1,94 @@
+package org.carobdoor.wire;
+
+import static org.carobdoor.wire.MessageDecoder.decodeClaimReply;
+import static org.carobdoor.wire.MessageDecoder.decodeClaimRequest;
+import static org.carobdoor.wire.MessageDecoder.decodeClaimUpdate;
+import static org.carobdoor.wire.MessageDecoder.decodeItems;
+import static org.carobdoor.wire.MessageDecoder.decodeLoad;
+import static org.carobdoor.wire.MessageDecoder.decodeProgress;
+import static org.carobdoor.wire.MessageDecoder.decodeReadReply;
+import static org.carobdoor.wire.MessageDecoder.decodeWorkCopy;
+
+import java.time.Instant;
+import org.carobdoor.message.AllotmentReply;
+import org.carobdoor.message.AllotmentRequest;
+import org.carobdoor.message.ClaimReply;
+import org.carobdoor.message.ClaimRequest;
+import org.carobdoor.message.ClaimUpdate;
+import org.carobdoor.message.LoadReport;
+import org.carobdoor.message.PeerMessage;
+import org.carobdoor.message.Ping;
+import org.carobdoor.message.Pong;
+import org.carobdoor.message.ReplicaItems;
+import org.carobdoor.message.ReplicaPull;
+import org.carobdoor.message.WorkAck;
+import org.carobdoor.message.WorkCopy;
+import org.carobdoor.message.WorkHandover;
+import org.carobdoor.message.WorkProgress;
+import org.carobdoor.message.WorkRead;
+import org.carobdoor.message.WorkReadReply;
+import org.carobdoor.wire.proto.EnvelopeProto.Envelope;
+
+/** Maps messages to protobuf envelopes and back. Instants keep their milliseconds. */
+final class MessageCodec {
+    private MessageCodec() {}
+
+    static Envelope encode(long id, Envelope.Kind kind, PeerMessage message) {
+        Envelope.Builder b = Envelope.newBuilder().setMessageId(id).setKind(kind);
+        return switch (message) {
+            case ClaimRequest m -> b.setClaimRequest(MessageEncoder.encode(m)).build();
+            case ClaimReply m -> b.setClaimReply(MessageEncoder.encode(m)).build();
+            case ClaimUpdate m -> b.setClaimUpdate(MessageEncoder.encode(m)).build();
+            case AllotmentRequest m -> b.setAllotmentRequest(MessageEncoder.encode(m)).build();
+            case AllotmentReply m -> b.setAllotmentReply(MessageEncoder.encode(m)).build();
+            case LoadReport m -> b.setLoadReport(MessageEncoder.encode(m)).build();
+            case Ping m -> b.setPing(MessageEncoder.encode(m)).build();
+            case Pong m -> b.setPong(MessageEncoder.encode(m)).build();
+            case ReplicaItems m -> b.setReplicaItems(MessageEncoder.encode(m)).build();
+            case ReplicaPull m -> b.setReplicaPull(MessageEncoder.encode(m)).build();
+            case WorkCopy m -> b.setWorkCopy(MessageEncoder.encode(m)).build();
+            case WorkProgress m -> b.setWorkProgress(MessageEncoder.encode(m)).build();
+            case WorkAck m -> b.setWorkAck(MessageEncoder.encode(m)).build();
+            case WorkHandover m -> b.setWorkHandover(MessageEncoder.encode(m)).build();
+            case WorkRead m -> b.setWorkRead(MessageEncoder.encode(m)).build();
+            case WorkReadReply m -> b.setWorkReadReply(MessageEncoder.encode(m)).build();
+        };
+    }
+
+    /**
+     * Returns the message in {@code e}.
+     *
+     * @throws IllegalArgumentException if it carries none that is known and valid
+     */
+    static PeerMessage decode(Envelope e) {
+        return switch (e.getPayloadCase()) {
+            case CLAIM_REQUEST -> decodeClaimRequest(e.getClaimRequest());
+            case CLAIM_REPLY -> decodeClaimReply(e.getClaimReply());
+            case CLAIM_UPDATE -> decodeClaimUpdate(e.getClaimUpdate());
+            case ALLOTMENT_REQUEST ->
+                    new AllotmentRequest(
+                            e.getAllotmentRequest().getLimit(),
+                            e.getAllotmentRequest().getWanted());
+            case ALLOTMENT_REPLY ->
+                    new AllotmentReply(
+                            e.getAllotmentReply().getLimit(),
+                            e.getAllotmentReply().getGranted(),
+                            Instant.ofEpochMilli(e.getAllotmentReply().getUntil()));
+            case LOAD_REPORT -> decodeLoad(e.getLoadReport());
+            case PING -> new Ping();
+            case PONG -> new Pong();
+            case REPLICA_ITEMS -> decodeItems(e.getReplicaItems());
+            case REPLICA_PULL -> new ReplicaPull(e.getReplicaPull().getDigestsList());
+            case WORK_COPY -> decodeWorkCopy(e.getWorkCopy());
+            case WORK_PROGRESS -> decodeProgress(e.getWorkProgress());
+            case WORK_ACK ->
+                    new WorkAck(e.getWorkAck().getOffsetsMap(), e.getWorkAck().getEpochsMap());
+            case WORK_HANDOVER -> new WorkHandover(e.getWorkHandover().getRequestIdsList());
+            case WORK_READ ->
+                    new WorkRead(e.getWorkRead().getRequestId(), e.getWorkRead().getOffset());
+            case WORK_READ_REPLY -> decodeReadReply(e.getWorkReadReply());
+            case PAYLOAD_NOT_SET ->
+                    throw new IllegalArgumentException("envelope without a known message");
+        };
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/carobdoor/wire/MessageDecoder.java
@@ -0,0 +1,113 @@
+package org.carobdoor.wire;
+
+import com.google.protobuf.ByteString;
+import java.time.Instant;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.carobdoor.Bytes;
+import org.carobdoor.EndpointId;
+import org.carobdoor.message.ClaimReply;
+import org.carobdoor.message.ClaimRequest;
+import org.carobdoor.message.ClaimUpdate;
+import org.carobdoor.message.LoadReport;
+import org.carobdoor.message.ReplicaItem;
+import org.carobdoor.message.ReplicaItems;
+import org.carobdoor.message.WorkChunk;
+import org.carobdoor.message.WorkCopy;
+import org.carobdoor.message.WorkProgress;
+import org.carobdoor.message.WorkReadReply;
+import org.carobdoor.wire.proto.MessagesProto;
+
+/** Converts protobuf to messages, one method for each type that needs more than a constructor. */
+final class MessageDecoder {
+    private MessageDecoder() {}
+
+    static Bytes bytes(ByteString b) {
+        return Bytes.of(b.toByteArray());
+    }
+
+    static ClaimRequest decodeClaimRequest(MessagesProto.ClaimRequest p) {
+        return new ClaimRequest(
+                p.getLog(),
+                bytes(p.getKeyHash()),
+                bytes(p.getToken()),
+                Instant.ofEpochMilli(p.getRememberUntil()),
+                Instant.ofEpochMilli(p.getDeadline()));
+    }
+
+    static ClaimReply decodeClaimReply(MessagesProto.ClaimReply p) {
+        ClaimReply.Outcome outcome =
+                switch (p.getOutcome()) {
+                    case GRANTED -> ClaimReply.Outcome.GRANTED;
+                    case HELD -> ClaimReply.Outcome.HELD;
+                    case DONE -> ClaimReply.Outcome.DONE;
+                    case NOT_OWNER -> ClaimReply.Outcome.NOT_OWNER;
+                    case UNAVAILABLE -> ClaimReply.Outcome.UNAVAILABLE;
+                    case UNSPECIFIED, UNRECOGNIZED ->
+                            throw new IllegalArgumentException("claim reply without outcome");
+                };
+        return new ClaimReply(outcome, bytes(p.getToken()), p.getStatus(), p.getHolder());
+    }
+
+    static ClaimUpdate decodeClaimUpdate(MessagesProto.ClaimUpdate p) {
+        return new ClaimUpdate(
+                p.getLog(), bytes(p.getKeyHash()), bytes(p.getToken()), p.getStatus());
+    }
+
+    static LoadReport decodeLoad(MessagesProto.LoadReport p) {
+        return new LoadReport(
+                p.getOutstandingTokensMap().entrySet().stream()
+                        .collect(
+                                Collectors.toMap(
+                                        e -> new EndpointId(e.getKey()), Map.Entry::getValue)));
+    }
+
+    static ReplicaItems decodeItems(MessagesProto.ReplicaItems p) {
+        return new ReplicaItems(
+                p.getItemsList().stream()
+                        .map(
+                                i ->
+                                        new ReplicaItem(
+                                                i.getKey(),
+                                                i.getRevision(),
+                                                i.getDeleted(),
+                                                bytes(i.getValue())))
+                        .toList(),
+                p.getRelay());
+    }
+
+    static WorkCopy decodeWorkCopy(MessagesProto.WorkCopy p) {
+        return new WorkCopy(
+                p.getRequestId(),
+                p.getEpoch(),
+                bytes(p.getRequest()),
+                p.getOffset(),
+                p.getText(),
+                Instant.ofEpochMilli(p.getDeadline()));
+    }
+
+    static WorkProgress decodeProgress(MessagesProto.WorkProgress p) {
+        return new WorkProgress(
+                p.getChunksList().stream()
+                        .map(
+                                c ->
+                                        new WorkChunk(
+                                                c.getRequestId(),
+                                                c.getEpoch(),
+                                                c.getOffset(),
+                                                c.getTokens(),
+                                                c.getText(),
+                                                c.getLast()))
+                        .toList());
+    }
+
+    static WorkReadReply decodeReadReply(MessagesProto.WorkReadReply p) {
+        return new WorkReadReply(
+                p.getKnown(),
+                p.getEpoch(),
+                p.getOffset(),
+                p.getTokens(),
+                p.getText(),
+                p.getState());
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
@@ -0,0 +1,100 @@
+package org.carobdoor.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.carobdoor.Bytes;
+import org.carobdoor.EndpointId;
+import org.carobdoor.message.AllotmentReply;
+import org.carobdoor.message.AllotmentRequest;
+import org.carobdoor.message.ClaimReply;
+import org.carobdoor.message.ClaimRequest;
+import org.carobdoor.message.ClaimUpdate;
+import org.carobdoor.message.LoadReport;
+import org.carobdoor.message.PeerMessage;
+import org.carobdoor.message.Ping;
+import org.carobdoor.message.Pong;
+import org.carobdoor.message.ReplicaItem;
+import org.carobdoor.message.ReplicaItems;
+import org.carobdoor.message.ReplicaPull;
+import org.carobdoor.message.WorkAck;
+import org.carobdoor.message.WorkChunk;
+import org.carobdoor.message.WorkCopy;
+import org.carobdoor.message.WorkHandover;
+import org.carobdoor.message.WorkProgress;
+import org.carobdoor.message.WorkRead;
+import org.carobdoor.message.WorkReadReply;
+import org.carobdoor.wire.proto.EnvelopeProto.Envelope;
+import org.junit.jupiter.api.Test;
+
+/** Guards against messages that lose a field on the wire and types without a codec. */
+final class MessageCodecTest {
+    private static final Instant T = Instant.ofEpochMilli(1_765_432_100_123L);
+    private static final Bytes B = Bytes.utf8("0123456789abcdef");
+
+    private static final List<PeerMessage> EXAMPLES =
+            Stream.concat(
+                            Stream.of(ClaimReply.Outcome.values())
+                                    .map(o -> (PeerMessage) new ClaimReply(o, B, 201, "n-1")),
+                            Stream.<PeerMessage>of(
+                                    new ClaimRequest(3, B, Bytes.utf8("token"), T, T.plusMillis(5)),
+                                    new ClaimUpdate(15, B, Bytes.utf8("token"), 409),
+                                    new AllotmentRequest("entry/bids/rps", 77),
+                                    new AllotmentReply("entry/bids/rps", 12, T),
+                                    new LoadReport(Map.of(new EndpointId("vm-1"), 99L)),
+                                    new Ping(),
+                                    new Pong(),
+                                    new ReplicaItems(
+                                            List.of(
+                                                    new ReplicaItem("entry/a", 4, false, B),
+                                                    new ReplicaItem(
+                                                            "entry/b", 5, true, Bytes.empty())),
+                                            true),
+                                    new ReplicaPull(List.of(1L, -2L, Long.MIN_VALUE)),
+                                    new WorkCopy("r-1", 2, B, 7, "text", T),
+                                    new WorkProgress(
+                                            List.of(new WorkChunk("r-1", 1, 2, 3, "abc", true))),
+                                    new WorkAck(Map.of("r-1", 3), Map.of("r-1", 2)),
+                                    new WorkHandover(List.of("r-1", "r-2")),
+                                    new WorkRead("r-1", 9),
+                                    new WorkReadReply(true, 1, 2, 3, "abc", "running")))
+                    .toList();
+
+    @Test
+    void everyMessageSurvivesTheWire() throws Exception {
+        for (PeerMessage m : EXAMPLES) {
+            Envelope e = MessageCodec.encode(1, Envelope.Kind.CALL, m);
+            assertThat(MessageCodec.decode(Envelope.parseFrom(e.toByteArray()))).isEqualTo(m);
+        }
+    }
+
+    @Test
+    void everyPermittedTypeHasAnExample() {
+        Set<Class<?>> covered =
+                EXAMPLES.stream().map(PeerMessage::getClass).collect(Collectors.toSet());
+        assertWithMessage("message types without a codec test")
+                .that(covered)
+                .containsExactlyElementsIn(records(PeerMessage.class).toList());
+    }
+
+    @Test
+    void everyPayloadOfTheEnvelopeDecodes() {
+        Set<Envelope.PayloadCase> covered =
+                EXAMPLES.stream()
+                        .map(m -> MessageCodec.encode(1, Envelope.Kind.CALL, m).getPayloadCase())
+                        .collect(Collectors.toSet());
+        assertThat(covered).hasSize(Envelope.PayloadCase.values().length - 1);
+    }
+
+    private static Stream<Class<?>> records(Class<?> type) {
+        return type.isSealed()
+                ? Stream.of(type.getPermittedSubclasses()).flatMap(MessageCodecTest::records)
+                : Stream.of(type);
+    }
+}
