--- a/wire/src/main/java/org/carobdoor/wire/UdpProbeTransport.java
+++ b/wire/src/main/java/org/carobdoor/wire/UdpProbeTransport.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.carobdoor.internal.membership.Datagram;
+import org.carobdoor.internal.membership.ProbeTransport;
 
 /**
  * Sends and receives the datagrams of the membership protocol, each with a MAC under a cluster key.
@@ -30,7 +31,7 @@
  * }
  * }</pre>
  */
-public final class UdpProbeTransport implements AutoCloseable {
+public final class UdpProbeTransport implements ProbeTransport, AutoCloseable {
     private static final int HEADER_BYTES = Integer.BYTES + ClusterKey.MAC_BYTES;
 
     private final TransportCounters counters = new TransportCounters();
@@ -55,12 +56,13 @@
         return new UdpProbeTransport(group, bind, keys);
     }
 
-    /** Sets who receives authentic datagrams, on an event loop; it must not block for long. */
+    /** Sets who receives authentic datagrams, on an event loop. */
+    @Override
     public void listen(Consumer<Datagram> newListener) {
         listener = newListener;
     }
 
-    /** Sends {@code d}; it may be lost. */
+    @Override
     public void send(InetSocketAddress to, Datagram d) {
         byte[] body = ProbeCodec.encode(d);
         ClusterKey key = keys.first();
