--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/settings/SettingsLoader.java
@@ -0,0 +1,159 @@
+package org.carobdoor.node.settings;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.carobdoor.AvailabilityZone;
+import org.carobdoor.ClientAccount;
+import org.carobdoor.FailureKind;
+import org.carobdoor.Result;
+import org.carobdoor.platform.toml.TomlProblems;
+import org.carobdoor.platform.toml.TomlTable;
+
+/**
+ * Reads and checks a settings file; all problems are reported at once, each with file, line and
+ * key.
+ *
+ * <pre>{@code
+ * switch (SettingsLoader.load(Path.of("node.toml"))) {
+ *     case Result.Ok<NodeSettings>(var settings) -> start(settings);
+ *     case Result.Err<NodeSettings>(var failure) -> System.err.println(failure.detail());
+ * }
+ * }</pre>
+ */
+public final class SettingsLoader {
+    private static final String HELP = "see docs/TROUBLESHOOTING.md#settings";
+    private static final int MIN_KEY_LENGTH = 16;
+    private static final int KIB = 1 << 10;
+    private static final int MIB = 1 << 20;
+
+    private SettingsLoader() {}
+
+    /** Reads the settings at {@code file}. */
+    public static Result<NodeSettings> load(Path file) {
+        try {
+            return parse(file.toString(), Files.readString(file));
+        } catch (IOException e) {
+            return Result.err(
+                    FailureKind.REJECTED,
+                    "settings.read",
+                    "local",
+                    file + ": cannot be read: " + e + "\n" + HELP);
+        }
+    }
+
+    /** Reads the settings in {@code text}, which came from {@code file}. */
+    public static Result<NodeSettings> parse(String file, String text) {
+        TomlProblems problems = new TomlProblems(file, text);
+        TomlTable root = TomlTable.parse(text, problems);
+        // Without a readable text every key would be reported as missing.
+        if (!problems.isEmpty()) {
+            return rejected(problems);
+        }
+        TomlTable node = root.table("node");
+        TomlTable listen = root.table("listen");
+        TomlTable peers = root.table("peers");
+        String name = node.string("name");
+        if (!name.matches("[A-Za-z0-9][A-Za-z0-9_]{0,31}")) {
+            node.problem("name", "must be 1 to 32 letters, digits or underscores");
+        }
+        String zone = node.string("availability_zone");
+        NodeSettings settings =
+                new NodeSettings(
+                        name,
+                        new AvailabilityZone(zone.isBlank() ? "missing" : zone),
+                        listen.address("http"),
+                        listen.address("peer"),
+                        platformUrl(root.table("platform")),
+                        peers.addresses("seeds"),
+                        keys(peers, "cluster_keys"),
+                        keys(root.table("operators"), "keys"),
+                        accounts(root),
+                        requests(root.table("requests")),
+                        log(root.table("log")));
+        root.checkNoUnknownKeys();
+        return problems.isEmpty() ? Result.ok(settings) : rejected(problems);
+    }
+
+    private static Result<NodeSettings> rejected(TomlProblems problems) {
+        return Result.err(FailureKind.REJECTED, "settings.check", "local", problems + "\n" + HELP);
+    }
+
+    private static URI platformUrl(TomlTable t) {
+        String url = t.string("url");
+        try {
+            URI uri = new URI(url);
+            boolean http = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
+            if (!url.isBlank() && (!http || uri.getHost() == null)) {
+                t.problem("url", "must be an http or https URL with a host");
+            }
+            return uri;
+        } catch (URISyntaxException e) {
+            t.problem("url", "must be an http or https URL with a host");
+            return URI.create("http://0.0.0.0");
+        }
+    }
+
+    private static List<String> keys(TomlTable t, String key) {
+        List<String> keys = t.strings(key);
+        if (keys.isEmpty()) {
+            t.problem(key, "is missing; at least one key is required");
+        }
+        if (keys.stream().anyMatch(k -> k.length() < MIN_KEY_LENGTH)) {
+            t.problem(key, "holds a key shorter than " + MIN_KEY_LENGTH + " characters");
+        }
+        return keys;
+    }
+
+    private static List<AccountSettings> accounts(TomlTable root) {
+        List<AccountSettings> accounts = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
+        for (TomlTable t : root.tables("client_accounts")) {
+            String name = t.string("name");
+            List<String> keys = keys(t, "keys");
+            if (name.isBlank()) {
+                continue;
+            }
+            if (!seen.add(name)) {
+                t.problem("name", "\"" + name + "\" stands twice");
+            }
+            for (String key : keys) {
+                // A key shared by two accounts would let one act as the other.
+                if (!seen.add("key " + key)) {
+                    t.problem("keys", "holds a key that stands twice");
+                }
+            }
+            accounts.add(new AccountSettings(new ClientAccount(name), keys));
+        }
+        return accounts;
+    }
+
+    private static RequestSettings requests(TomlTable t) {
+        return new RequestSettings(
+                t.size("max_body", MIB, KIB, 64 * MIB),
+                time(t, "timeout", Duration.ofMinutes(10), Duration.ofHours(6)),
+                time(t, "write_timeout", Duration.ofSeconds(30), Duration.ofMinutes(10)),
+                time(t, "leaving_bound", Duration.ofSeconds(3), Duration.ofSeconds(30)),
+                time(t, "connect_timeout", Duration.ofSeconds(1), Duration.ofSeconds(30)),
+                time(t, "progress_timeout", Duration.ofSeconds(10), Duration.ofMinutes(10)),
+                time(t, "remember_keys", Duration.ofHours(24), Duration.ofHours(24 * 7)),
+                time(t, "keep_answers", Duration.ofMinutes(10), Duration.ofHours(24)));
+    }
+
+    private static Duration time(TomlTable t, String key, Duration absent, Duration max) {
+        return t.duration(key, absent, Duration.ofMillis(1), max);
+    }
+
+    private static LogSettings log(TomlTable t) {
+        String format = t.oneOf("format", "text", List.of("text", "json"));
+        String level = t.oneOf("level", "info", List.of("error", "warn", "info", "debug"));
+        return new LogSettings(format.equals("json"), level);
+    }
+}
