--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointUse.java
@@ -0,0 +1,22 @@
+package org.carobdoor.node.endpoint;
+
+import org.carobdoor.internal.endpoint.EndpointRecord;
+
+/** One use of an endpoint by one request; closing it ends the use. */
+public interface EndpointUse extends AutoCloseable {
+
+    /** Returns the endpoint. */
+    EndpointRecord endpoint();
+
+    /** Returns the model to ask for; empty for a plain service. */
+    String model();
+
+    /** Records that the endpoint refused to start new work. */
+    void refused();
+
+    /** Records that the endpoint could not be reached or broke off. */
+    void failed();
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/endpoint/ServiceAnswer.java
@@ -0,0 +1,20 @@
+package org.carobdoor.node.endpoint;
+
+import java.util.List;
+import java.util.Map;
+import org.carobdoor.Bytes;
+
+/**
+ * The whole answer of a plain service.
+ *
+ * @param status the HTTP status
+ * @param headers the headers to pass on
+ * @param body the body
+ */
+public record ServiceAnswer(int status, Map<String, List<String>> headers, Bytes body) {
+
+    /** Copies the headers. */
+    public ServiceAnswer {
+        headers = Map.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/http/ProblemException.java
@@ -0,0 +1,18 @@
+package org.carobdoor.node.http;
+
+/** Carries a {@link Problem} from a route handler to the error handler. */
+final class ProblemException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final transient Problem problem;
+
+    ProblemException(Problem problem) {
+        // No stack trace: a caller's mistake is no fault of the program and may come often.
+        super(problem.detail(), null, false, false);
+        this.problem = problem;
+    }
+
+    Problem problem() {
+        return problem;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/model/ModelRequest.java
@@ -0,0 +1,56 @@
+package org.carobdoor.node.model;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.carobdoor.Bytes;
+import org.carobdoor.ClientAccount;
+
+/**
+ * A checked request to a language model.
+ *
+ * @param entry the name of the catalogue entry
+ * @param account the client account of the caller
+ * @param chat whether it is a chat completion, else a text completion
+ * @param body the caller's request body
+ * @param prompt the text of the prompt, for routing by prefix
+ * @param maxTokens the largest number of tokens to generate
+ */
+public record ModelRequest(
+        String entry,
+        ClientAccount account,
+        boolean chat,
+        ObjectNode body,
+        String prompt,
+        int maxTokens) {
+
+    /** Encodes the request, so that another node can continue it. */
+    public Bytes encode() {
+        ObjectNode json = body.objectNode();
+        json.put("entry", entry);
+        json.put("account", account.value());
+        json.put("chat", chat);
+        json.set("body", body);
+        return Bytes.utf8(json.toString());
+    }
+
+    /**
+     * Decodes a request.
+     *
+     * @throws JsonProcessingException if {@code bytes} were not made by {@link #encode}
+     */
+    public static ModelRequest decode(ObjectMapper mapper, Bytes bytes)
+            throws JsonProcessingException {
+        JsonNode json = mapper.readTree(bytes.toUtf8());
+        ObjectNode body = (ObjectNode) json.get("body");
+        boolean chat = json.get("chat").asBoolean();
+        return new ModelRequest(
+                json.get("entry").asText(),
+                new ClientAccount(json.get("account").asText()),
+                chat,
+                body,
+                ModelRequestParser.promptOf(chat, body),
+                ModelRequestParser.maxTokensOf(body));
+    }
+}
