--- a/core/src/main/java/org/carobdoor/message/ClaimReply.java
+++ b/core/src/main/java/org/carobdoor/message/ClaimReply.java
@@ -3,10 +3,11 @@
 import org.carobdoor.Bytes;
 
 /**
- * Answers a {@link ClaimRequest} or a {@link ClaimUpdate}.
+ * Answers a {@link ClaimRequest}, a {@link ClaimUpdate} or a {@link ClaimLookup}.
  *
  * @param outcome what became of the request
- * @param token the token that holds the claim; empty unless the outcome is about a record
+ * @param token the token of the request if it holds the claim, else empty: the token of another
+ *     request stays known to its node only
  * @param status the HTTP status of a done call, else 0
  * @param holder the node that holds the claim or keeps its answer; empty if not known
  */
@@ -24,6 +25,12 @@
         /** The receiver does not own the log; ask another node. */
         NOT_OWNER,
         /** The key-value service did not answer; nothing may be sent. */
-        UNAVAILABLE
+        UNAVAILABLE,
+        /** The key may have been forgotten, so an earlier call with it may have run. */
+        TOO_OLD,
+        /** The claim has been released, or was never made by this token. */
+        RELEASED,
+        /** No claim of the key is recorded. It is no proof that none will be. */
+        NOT_RECORDED
     }
 }
