--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/logging/LogSetup.java
@@ -0,0 +1,52 @@
+package org.carobdoor.node.logging;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import org.carobdoor.node.settings.LogSettings;
+import org.slf4j.LoggerFactory;
+
+/** Applies the log settings. The log goes to standard output, since the VMs have no disk. */
+public final class LogSetup {
+    private static final String PATTERN =
+            "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level %logger{20} %msg%kvp%n%ex{5}";
+
+    private LogSetup() {}
+
+    /** Replaces the log configuration by {@code settings}. */
+    public static void apply(LogSettings settings) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        Encoder<ILoggingEvent> encoder = encoder(context, settings.json());
+        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+        appender.setContext(context);
+        appender.setEncoder(encoder);
+        appender.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.addAppender(appender);
+        root.setLevel(Level.WARN);
+        context.getLogger("org.carobdoor").setLevel(Level.toLevel(settings.level()));
+    }
+
+    private static Encoder<ILoggingEvent> encoder(LoggerContext context, boolean json) {
+        if (json) {
+            JsonEncoder encoder = new JsonEncoder();
+            encoder.setContext(context);
+            encoder.setWithFormattedMessage(true);
+            encoder.setWithMessage(false);
+            encoder.setWithArguments(false);
+            encoder.start();
+            return encoder;
+        }
+        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        encoder.setContext(context);
+        encoder.setPattern(PATTERN);
+        encoder.start();
+        return encoder;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/metrics/package-info.java
@@ -0,0 +1,5 @@
+/** The counters and gauges of the daemon. */
+@NullMarked
+package org.carobdoor.node.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/main/java/org/carobdoor/node/model/ModelRequest.java
+++ b/node/src/main/java/org/carobdoor/node/model/ModelRequest.java
@@ -25,6 +25,16 @@
         String prompt,
         int maxTokens) {
 
+    /** The usual ratio for English text. */
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    /**
+     * Returns an estimate of the tokens of the prompt: engines count them exactly, nodes do not.
+     */
+    public int promptTokens() {
+        return prompt.length() / CHARACTERS_PER_TOKEN + 1;
+    }
+
     /** Encodes the request, so that another node can continue it. */
     public Bytes encode() {
         ObjectNode json = body.objectNode();
