Add the state machines of claims and the codec of the claim logs

The owner of a log (ClaimLog) decides messages against written content only and writes them in one compare-and-swap; a write in doubt is read back, repeated unchanged if the version stands, and otherwise its messages are decided anew against what was read, so a grant rests on a record that is known to be stored.

Decisions: - The number of a segment is the version of the head that it seals. Two owners that seal the same head write the same content, so a segment is never overwritten, and a segment whose head write lost can never be listed later and may be deleted. Random numbers were ruled out: a crash would leave segments that nobody can tell from live ones. - The head keeps forgottenUntil, the latest rememberUntil that was ever trimmed. A dated key always has the same rememberUntil, so a late retry is refused even if the clocks of two owners differ. - Segments to be deleted stay listed in the head until they are gone. - Sealed records are indexed by 32 bits of the key hash, 4 bytes a record; a match costs a read. - Outcomes wait up to 500 ms for the write of a claim to share. - The deadline of a claim only bounds the owner's queue, since the clocks can differ.

All three classes are driven by operations and outcomes and do no I/O.

--- a/core/src/main/java/org/carobdoor/internal/Preconditions.java
+++ b/core/src/main/java/org/carobdoor/internal/Preconditions.java
@@ -1,5 +1,7 @@
 package org.carobdoor.internal;
 
+import org.jspecify.annotations.Nullable;
+
 /** Checks arguments and invariants. */
 public final class Preconditions {
     private Preconditions() {}
@@ -37,4 +39,16 @@
             throw new InvariantViolation(message);
         }
     }
+
+    /**
+     * Returns {@code value} if it is present, which is an invariant of the program.
+     *
+     * @throws InvariantViolation if it is null
+     */
+    public static <T> T checkPresent(@Nullable T value, String message) {
+        if (value == null) {
+            throw new InvariantViolation(message);
+        }
+        return value;
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/claims/BatchPlan.java
@@ -0,0 +1,79 @@
+package org.carobdoor.internal.claims;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.carobdoor.message.ClaimReply;
+import org.carobdoor.message.ClaimReply.Outcome;
+
+/**
+ * Decides waiting messages against the written content and against each other.
+ *
+ * <p>A message whose decision changes no record and rests on written records only is answered at
+ * once. The others are answered after the write. A message about a key in a segment that has not
+ * been read waits.
+ */
+final class BatchPlan {
+    final Map<Id128, ClaimRecord> changes = new LinkedHashMap<>();
+    final List<Settled> answered = new ArrayList<>();
+    final List<Pending> entries = new ArrayList<>();
+    final List<Settled> replies = new ArrayList<>();
+    final List<Pending> waiting = new ArrayList<>();
+    final Set<Long> needed = new LinkedHashSet<>();
+
+    private final LogContent content;
+    private final ClaimRules rules;
+
+    BatchPlan(LogContent content, Iterable<Pending> queue, Instant now) {
+        this.content = content;
+        this.rules = new ClaimRules(content.head().forgottenUntil(), now);
+        queue.forEach(this::decide);
+        replies.replaceAll(settled -> withdrawIfReleased(settled));
+    }
+
+    /** A claim that is released in the same batch must not be granted. */
+    private Settled withdrawIfReleased(Settled settled) {
+        ClaimReply reply = settled.reply();
+        boolean granted = reply.outcome() == Outcome.GRANTED;
+        boolean held =
+                granted
+                        && changes.values().stream()
+                                .anyMatch(
+                                        r ->
+                                                r.token().equals(Id128.of(reply.token()))
+                                                        && r.state() == ClaimState.CLAIMED);
+        return granted && !held
+                ? new Settled(settled.ticket(), ClaimRules.reply(Outcome.RELEASED))
+                : settled;
+    }
+
+    /** Returns whether some change should be written at {@code now}. */
+    boolean isDue(Instant now) {
+        return entries.stream().anyMatch(entry -> !entry.writeBy().isAfter(now));
+    }
+
+    private void decide(Pending pending) {
+        OptionalLong unread = content.unread(pending.key());
+        if (unread.isPresent()) {
+            needed.add(unread.getAsLong());
+            waiting.add(pending);
+            return;
+        }
+        ClaimRecord changed = changes.get(pending.key());
+        ClaimRecord current = changed == null ? content.find(pending.key()) : changed;
+        Decision decision = rules.decide(pending, current);
+        Settled settled = new Settled(pending.ticket(), decision.reply());
+        if (changed == null && decision.change().isEmpty()) {
+            answered.add(settled);
+            return;
+        }
+        decision.change().ifPresent(record -> changes.put(pending.key(), record));
+        entries.add(pending);
+        replies.add(settled);
+    }
+}
