--- a/node/src/main/java/org/carobdoor/node/endpoint/EndpointUse.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointUse.java
@@ -11,6 +11,15 @@
     /** Returns the model to ask for; empty for a plain service. */
     String model();
 
+    /**
+     * Returns whether the request may be sent now. Call it immediately before the first byte, since
+     * the endpoint may have been announced to leave after it was chosen.
+     */
+    boolean startSend();
+
+    /** Records that {@code count} tokens more have arrived. */
+    void onTokens(int count);
+
     /** Records that the endpoint refused to start new work. */
     void refused();
 
--- a/node/src/main/java/org/carobdoor/node/model/ResumingStream.java
+++ b/node/src/main/java/org/carobdoor/node/model/ResumingStream.java
@@ -87,6 +87,10 @@
                     text.append(t.text());
                     tokens += t.count();
                     attemptsWithoutProgress = 0;
+                    EndpointUse u = use;
+                    if (u != null) {
+                        u.onTokens(t.count());
+                    }
                     return t;
                 }
                 case EngineEvent.Finished f -> {
@@ -113,6 +117,13 @@
         }
         EndpointUse u = chosen.get();
         use = u;
+        if (!u.startSend()) {
+            return Result.err(
+                    FailureKind.NOT_DONE,
+                    EngineClient.STEP_REFUSED,
+                    u.endpoint().address().toString(),
+                    "the endpoint is leaving");
+        }
         if (tokens > 0) {
             listener.onResume(entry.name(), tokens);
         }
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/service/ServiceCalls.java
@@ -0,0 +1,90 @@
+package org.carobdoor.node.service;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.carobdoor.EndpointId;
+import org.carobdoor.Failure;
+import org.carobdoor.FailureKind;
+import org.carobdoor.Result;
+import org.carobdoor.internal.catalogue.CatalogueEntry;
+import org.carobdoor.node.endpoint.EndpointChooser;
+import org.carobdoor.node.endpoint.EndpointUse;
+import org.carobdoor.node.endpoint.ServiceAnswer;
+import org.carobdoor.node.endpoint.ServiceClient;
+import org.carobdoor.node.endpoint.ServiceRequest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Calls plain services, at another endpoint if the first cannot be reached.
+ *
+ * <p>A call that may not be repeated goes to another endpoint only with proof that no byte of it
+ * was sent.
+ *
+ * <pre>{@code
+ * switch (services.call(entry, request, false, deadline)) {
+ *     case CallOutcome.Answered(var answer) -> ...
+ *     case CallOutcome.NotRun(var failure) -> ...
+ *     case CallOutcome.Unknown(var failure) -> ...
+ * }
+ * }</pre>
+ */
+public final class ServiceCalls {
+    private static final int MAX_ATTEMPTS = 3;
+
+    private final EndpointChooser chooser;
+    private final ServiceClient client;
+
+    /** Creates an executor of calls. */
+    public ServiceCalls(EndpointChooser chooser, ServiceClient client) {
+        this.chooser = chooser;
+        this.client = client;
+    }
+
+    /** Calls a service for {@code entry} until {@code deadline}. */
+    public CallOutcome call(
+            CatalogueEntry entry, ServiceRequest request, boolean repeatable, Instant deadline) {
+        Set<EndpointId> avoid = new HashSet<>();
+        Failure last = null;
+        boolean sent = false;
+        for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+            Optional<EndpointUse> chosen = chooser.choose(entry, "", 1, avoid);
+            if (chosen.isEmpty()) {
+                break;
+            }
+            try (EndpointUse use = chosen.get()) {
+                avoid.add(use.endpoint().id());
+                if (!use.startSend()) {
+                    continue;
+                }
+                switch (client.call(use.endpoint(), request, deadline)) {
+                    case Result.Ok<ServiceAnswer>(var answer) -> {
+                        return new CallOutcome.Answered(answer);
+                    }
+                    case Result.Err<ServiceAnswer>(var failure) -> {
+                        use.failed();
+                        last = failure;
+                        sent |= failure.kind() != FailureKind.NOT_DONE;
+                    }
+                }
+            }
+            if (sent && !repeatable) {
+                break;
+            }
+        }
+        return failed(entry, last, sent);
+    }
+
+    private static CallOutcome failed(CatalogueEntry entry, @Nullable Failure last, boolean sent) {
+        Failure failure =
+                last != null
+                        ? last
+                        : new Failure(
+                                FailureKind.NOT_DONE,
+                                "route",
+                                "local",
+                                "no live endpoint serves " + entry.name());
+        return sent ? new CallOutcome.Unknown(failure) : new CallOutcome.NotRun(failure);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/service/package-info.java
@@ -0,0 +1,5 @@
+/** Calls of plain services over changing endpoints. */
+@NullMarked
+package org.carobdoor.node.service;
+
+import org.jspecify.annotations.NullMarked;
