Add the stand-ins of platform, engine and plain service

The stand-ins run on Jooby and Netty with virtual threads, on 127.0.0.1 only. Jooby's interface neither reports a client that has gone nor drops a connection without an answer, so ClientConnection reads the Netty channel by reflection. io_uring is not on the class path.

Each of these was seen to fail when its mechanism was taken out: lost answers, fencing check of the cloud API, cancellation on disconnect and compare-and-swap.

--- /dev/null
+++ b/standins/src/main/java/org/carobdoor/standins/engine/EngineState.java
@@ -0,0 +1,139 @@
+package org.carobdoor.standins.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicLong;
+import org.carobdoor.standins.http.Json;
+
+/** What an engine has loaded, received and been told; safe for several threads. */
+final class EngineState {
+    private final InstantSource clock;
+    private final EngineOptions options;
+    private final Set<String> models = new TreeSet<>();
+    private final List<EngineCall> calls = new ArrayList<>();
+    private final List<ObjectNode> orders = new ArrayList<>();
+    private final AtomicLong outstandingTokens = new AtomicLong();
+    private EngineFaults faults;
+    private int silencedBefore;
+    private int droppedBefore;
+    private long highestFencing;
+    private String role = "serve";
+    private ObjectNode currentLoad = Json.object();
+    private ObjectNode publishedLoad = Json.object();
+    private long sampledAtMillis;
+
+    EngineState(InstantSource clock, EngineOptions options) {
+        this.clock = clock;
+        this.options = options;
+        this.faults = options.faults();
+        models.addAll(options.models());
+    }
+
+    synchronized EngineFaults faults() {
+        return faults;
+    }
+
+    /**
+     * Changes faults. {@code silenceOpen} and {@code dropOpen} concern the requests that are open
+     * now and leave new ones alone.
+     */
+    synchronized void changeFaults(JsonNode json) {
+        faults = faults.with(json);
+        if (json.path("silenceOpen").asBoolean(false)) {
+            silencedBefore = calls.size();
+        }
+        if (json.path("dropOpen").asBoolean(false)) {
+            droppedBefore = calls.size();
+        }
+    }
+
+    synchronized boolean isSilent(EngineCall call) {
+        return faults.silent() || call.sequence() <= silencedBefore;
+    }
+
+    synchronized boolean isDropped(EngineCall call) {
+        return call.sequence() <= droppedBefore;
+    }
+
+    synchronized EngineCall receive(String requestId, GenerationRequest request) {
+        var call = new EngineCall(calls.size() + 1L, clock.millis(), requestId, request);
+        calls.add(call);
+        return call;
+    }
+
+    synchronized ObjectNode ledger() {
+        ObjectNode json = Json.object().put("id", options.id());
+        ArrayNode list = json.putArray("requests");
+        calls.forEach(c -> list.add(c.toJson()));
+        json.putArray("orders").addAll(orders);
+        return json;
+    }
+
+    void addOutstanding(long tokens) {
+        outstandingTokens.addAndGet(tokens);
+    }
+
+    synchronized boolean serves(String model) {
+        return models.contains(model);
+    }
+
+    /** Carries out an order; returns false if it carries an old fencing number. */
+    synchronized boolean order(JsonNode json) {
+        long fencing = json.path("fencing").asLong();
+        boolean accepted = faults.ignoreFencing() || fencing >= highestFencing;
+        ObjectNode entry = Json.object().put("accepted", accepted);
+        entry.set("order", json);
+        orders.add(entry);
+        if (!accepted) {
+            return false;
+        }
+        highestFencing = Math.max(highestFencing, fencing);
+        apply(json);
+        return true;
+    }
+
+    private void apply(JsonNode json) {
+        String model = json.path("model").asText();
+        switch (json.path("action").asText()) {
+            case "load_model", "load_adapter", "load_version" -> models.add(model);
+            case "unload_model", "unload_adapter" -> models.remove(model);
+            case "set_role" -> role = json.path("role").asText();
+            default -> throw new IllegalArgumentException("unknown action in " + json);
+        }
+    }
+
+    /** Returns the load as it was at the sample before the last. */
+    synchronized ObjectNode load(BatchSlots slots, PrefixCache cache) {
+        long now = clock.millis();
+        if (now - sampledAtMillis >= options.loadLagMillis() || publishedLoad.isEmpty()) {
+            ObjectNode sample = sample(now, slots, cache);
+            publishedLoad =
+                    currentLoad.isEmpty() || options.loadLagMillis() == 0 ? sample : currentLoad;
+            currentLoad = sample;
+            sampledAtMillis = now;
+        }
+        return publishedLoad;
+    }
+
+    private ObjectNode sample(long now, BatchSlots slots, PrefixCache cache) {
+        ObjectNode json =
+                Json.object()
+                        .put("id", options.id())
+                        .put("sampledAtMillis", now)
+                        .put("running", slots.running())
+                        .put("waiting", slots.waiting())
+                        .put("outstandingTokens", outstandingTokens.get())
+                        .put("maxConcurrent", options.maxConcurrent())
+                        .put("cacheBlocksUsed", cache.size())
+                        .put("cacheBlocks", cache.capacity())
+                        .put("role", role);
+        json.set("models", Json.strings(models));
+        return json;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/carobdoor/standins/http/StandInServer.java
@@ -0,0 +1,168 @@
+package org.carobdoor.standins.http;
+
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.ServerOptions;
+import io.jooby.StartupSummary;
+import io.jooby.netty.NettyServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+
+/**
+ * An HTTP server on 127.0.0.1 whose handlers run on virtual threads.
+ *
+ * <pre>{@code
+ * try (var server = StandInServer.start(0, app -> StandInServer.get(app, "/load", c -> load()))) {
+ *     use(server.url());
+ * }
+ * }</pre>
+ */
+public final class StandInServer implements AutoCloseable {
+    private static final String HOST = "127.0.0.1";
+    private static final int BIND_ATTEMPTS = 5;
+
+    private final NettyServer server;
+    private final ExecutorService workers;
+    private final int port;
+
+    private StandInServer(NettyServer server, ExecutorService workers, int port) {
+        this.server = server;
+        this.workers = workers;
+        this.port = port;
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param port the port, or 0 for any free one
+     * @param routes adds the routes
+     * @throws IllegalStateException if the port cannot be bound
+     */
+    public static StandInServer start(int port, Consumer<Jooby> routes) {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                return tryStart(port, routes);
+            } catch (RuntimeException e) {
+                // Jooby picks a free port before it binds it, so another process can be faster.
+                if (port != 0 || attempt == BIND_ATTEMPTS) {
+                    throw new IllegalStateException("cannot listen on " + HOST + ":" + port, e);
+                }
+            }
+        }
+    }
+
+    private static StandInServer tryStart(int port, Consumer<Jooby> routes) {
+        var workers = Executors.newVirtualThreadPerTaskExecutor();
+        var app = new Jooby();
+        app.setStartupSummary(List.of(StartupSummary.NONE));
+        app.setExecutionMode(ExecutionMode.WORKER);
+        app.setWorker(workers);
+        app.error((context, cause, status) -> sendError(context, cause, status.value()));
+        routes.accept(app);
+        var options = new ServerOptions().setPort(port).setIoThreads(2).setWorkerThreads(1);
+        options.setHost(HOST);
+        var server = new NettyServer();
+        server.setOptions(options);
+        try {
+            server.start(app);
+        } catch (RuntimeException e) {
+            workers.shutdownNow();
+            server.stop();
+            throw e;
+        }
+        return new StandInServer(server, workers, options.getPort());
+    }
+
+    /** Adds a handler of GET requests. */
+    public static void get(Jooby app, String path, JsonHandler handler) {
+        app.get(path, context -> answer(context, handler));
+    }
+
+    /** Adds a handler of POST requests. */
+    public static void post(Jooby app, String path, JsonHandler handler) {
+        app.post(path, context -> answer(context, handler));
+    }
+
+    /** Adds a handler of DELETE requests. */
+    public static void delete(Jooby app, String path, JsonHandler handler) {
+        app.delete(path, context -> answer(context, handler));
+    }
+
+    /** Runs {@code handler} and sends its answer, unless the handler has sent one itself. */
+    public static Object answer(Context context, JsonHandler handler) throws Exception {
+        Reply reply = handler.handle(context);
+        if (reply.isSent()) {
+            return context;
+        }
+        if (reply.isDropped()) {
+            ClientConnection.of(context).drop();
+        }
+        context.setResponseCode(reply.isDropped() ? 500 : reply.status());
+        context.setResponseType(MediaType.json);
+        return context.send(Json.bytes(reply.body()));
+    }
+
+    /** Returns a query parameter that is a whole number. */
+    public static long number(Context context, String name, long whenMissing) {
+        return context.query(name).longValue(whenMissing);
+    }
+
+    /** Waits without holding a platform thread. Returns early if the server is closed. */
+    public static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Blocks until the client closes its connection or the server is closed. */
+    public static void waitForDisconnect(Context context) {
+        var connection = ClientConnection.of(context);
+        while (connection.isOpen() && !Thread.currentThread().isInterrupted()) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+        }
+    }
+
+    /** Returns the port that the server listens on. */
+    public int port() {
+        return port;
+    }
+
+    /** Returns the address that the server listens on. */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** Returns the base URL, without a slash at the end. */
+    public String url() {
+        return "http://" + HOST + ":" + port;
+    }
+
+    private static void sendError(Context context, Throwable cause, int status) {
+        if (context.isResponseStarted()) {
+            return;
+        }
+        // Bad JSON in a request is the client's error.
+        int code = cause instanceof IOException ? 400 : status;
+        context.setResponseCode(code);
+        context.setResponseType(MediaType.json);
+        context.send(Json.bytes(Json.object().put("error", String.valueOf(cause.getMessage()))));
+    }
+
+    /** Stops the server and interrupts the handlers that still run. */
+    @Override
+    public void close() {
+        workers.shutdownNow();
+        server.stop();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/carobdoor/standins/platform/KeyValueState.java
@@ -0,0 +1,184 @@
+package org.carobdoor.standins.platform;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import org.carobdoor.Bytes;
+import org.carobdoor.ValueList;
+import org.carobdoor.VersionedValue;
+
+/**
+ * A versioned key-value map with compare-and-swap, leases and watches; safe for several threads.
+ *
+ * <p>The version of a key keeps counting when the key is deleted and written again, so that a
+ * version names one value only. A watch does not report deletions.
+ */
+public final class KeyValueState {
+    // A waiting watch wakes up this often to look at a clock that a test may have moved.
+    private static final long WATCH_POLL_MILLIS = 5;
+
+    private static final HeldLease NEVER_HELD = new HeldLease("", 0, Instant.MIN);
+
+    private final InstantSource clock;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition changed = lock.newCondition();
+    private final TreeMap<String, VersionedValue> values = new TreeMap<>();
+    private final Map<String, Long> versions = new HashMap<>();
+    private final Map<String, HeldLease> leases = new HashMap<>();
+    private long revision;
+
+    /** Makes an empty map whose leases lapse by {@code clock}. */
+    public KeyValueState(InstantSource clock) {
+        this.clock = clock;
+    }
+
+    /**
+     * The outcome of a write.
+     *
+     * @param applied whether the value was written or deleted
+     * @param version the new version, or the current one if nothing was written (0 if none)
+     * @param current the value after the call, if there is one
+     */
+    public record Written(boolean applied, long version, Optional<VersionedValue> current) {}
+
+    private record HeldLease(String holder, long fencing, Instant until) {}
+
+    /** Reads one key. */
+    public Optional<VersionedValue> get(String key) {
+        lock.lock();
+        try {
+            return Optional.ofNullable(values.get(key));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Writes {@code value} if the key has {@code expectedVersion}; 0 means no such key. */
+    public Written compareAndSet(String key, long expectedVersion, Bytes value) {
+        lock.lock();
+        try {
+            if (currentVersion(key) != expectedVersion) {
+                return refused(key);
+            }
+            var written = new VersionedValue(key, nextVersion(key), ++revision, value);
+            values.put(key, written);
+            changed.signalAll();
+            return new Written(true, written.version(), Optional.of(written));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Deletes the key if it has {@code expectedVersion}. */
+    public Written delete(String key, long expectedVersion) {
+        lock.lock();
+        try {
+            if (expectedVersion == 0 || currentVersion(key) != expectedVersion) {
+                return refused(key);
+            }
+            values.remove(key);
+            revision++;
+            return new Written(true, nextVersion(key), Optional.empty());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Reads all values whose key starts with {@code prefix}. */
+    public ValueList list(String prefix) {
+        lock.lock();
+        try {
+            return changedAfter(prefix, 0);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Waits until a value below {@code prefix} has a revision above {@code after}, or until {@code
+     * deadline}, and returns the values that have.
+     */
+    public ValueList watch(String prefix, long after, Instant deadline)
+            throws InterruptedException {
+        lock.lock();
+        try {
+            while (true) {
+                ValueList list = changedAfter(prefix, after);
+                if (!list.values().isEmpty() || !clock.instant().isBefore(deadline)) {
+                    return list;
+                }
+                var unused = changed.await(WATCH_POLL_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Takes or renews a lease; a {@code ttl} of zero gives it up.
+     *
+     * @return the fencing number, or empty if another holder has the lease
+     */
+    public Optional<Long> lease(String name, String holder, Duration ttl) {
+        lock.lock();
+        try {
+            Instant now = clock.instant();
+            HeldLease held = leases.getOrDefault(name, NEVER_HELD);
+            boolean lapsed = !now.isBefore(held.until());
+            if (!lapsed && !held.holder().equals(holder)) {
+                return Optional.empty();
+            }
+            long fencing = held.fencing() + (lapsed ? 1 : 0);
+            leases.put(name, new HeldLease(holder, fencing, now.plus(ttl)));
+            return Optional.of(fencing);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Lets a lease lapse at once, as if its holder had been paused past its end. */
+    public void expireLease(String name) {
+        lock.lock();
+        try {
+            leases.computeIfPresent(
+                    name, (n, held) -> new HeldLease(held.holder(), held.fencing(), Instant.MIN));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private ValueList changedAfter(String prefix, long after) {
+        List<VersionedValue> found = new ArrayList<>();
+        for (VersionedValue value : values.tailMap(prefix, true).values()) {
+            if (!value.key().startsWith(prefix)) {
+                break;
+            }
+            if (value.revision() > after) {
+                found.add(value);
+            }
+        }
+        return new ValueList(revision, found);
+    }
+
+    private long currentVersion(String key) {
+        VersionedValue value = values.get(key);
+        return value == null ? 0 : value.version();
+    }
+
+    private long nextVersion(String key) {
+        return versions.merge(key, 1L, Long::sum);
+    }
+
+    private Written refused(String key) {
+        return new Written(false, currentVersion(key), Optional.ofNullable(values.get(key)));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/carobdoor/standins/platform/PriceTable.java
@@ -0,0 +1,64 @@
+package org.carobdoor.standins.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import org.carobdoor.standins.http.Json;
+
+/** The prices of VMs by zone, machine class and pricing. */
+final class PriceTable {
+    private static final double UNLISTED_PRICE = 1.0;
+
+    private final Map<String, Double> prices = new ConcurrentSkipListMap<>();
+
+    PriceTable() {
+        // Reclaimable VMs cost about a third of those on demand, and zones differ by a few percent.
+        String[] zones = {"zone-a", "zone-b", "zone-c"};
+        for (int i = 0; i < zones.length; i++) {
+            double factor = 1 + 0.05 * i;
+            set(zones[i], "gpu-1", "on_demand", 3.0 * factor);
+            set(zones[i], "gpu-1", "reclaimable", factor);
+            set(zones[i], "gpu-4", "on_demand", 11.0 * factor);
+            set(zones[i], "gpu-4", "reclaimable", 3.6 * factor);
+        }
+    }
+
+    void set(String zone, String machineClass, String pricing, double pricePerHour) {
+        prices.put(key(zone, machineClass, pricing), pricePerHour);
+    }
+
+    void setAll(JsonNode list) {
+        for (JsonNode p : list) {
+            set(
+                    p.path("zone").asText(),
+                    p.path("machineClass").asText(),
+                    p.path("pricing").asText(),
+                    p.path("pricePerHour").asDouble());
+        }
+    }
+
+    double of(String zone, String machineClass, String pricing) {
+        return prices.getOrDefault(key(zone, machineClass, pricing), UNLISTED_PRICE);
+    }
+
+    ObjectNode toJson() {
+        ObjectNode json = Json.object();
+        ArrayNode list = json.putArray("prices");
+        prices.forEach(
+                (key, price) -> {
+                    String[] parts = key.split("\n", -1);
+                    list.addObject()
+                            .put("zone", parts[0])
+                            .put("machineClass", parts[1])
+                            .put("pricing", parts[2])
+                            .put("pricePerHour", price);
+                });
+        return json;
+    }
+
+    private static String key(String zone, String machineClass, String pricing) {
+        return zone + "\n" + machineClass + "\n" + pricing;
+    }
+}
