--- a/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
@@ -12,6 +12,10 @@
 import java.time.Instant;
 import org.carobdoor.message.AllotmentReply;
 import org.carobdoor.message.AllotmentRequest;
+import org.carobdoor.message.AnswerCopy;
+import org.carobdoor.message.AnswerRead;
+import org.carobdoor.message.AnswerReply;
+import org.carobdoor.message.ClaimLookup;
 import org.carobdoor.message.ClaimReply;
 import org.carobdoor.message.ClaimRequest;
 import org.carobdoor.message.ClaimUpdate;
@@ -39,6 +43,10 @@
             case ClaimRequest m -> b.setClaimRequest(MessageEncoder.encode(m)).build();
             case ClaimReply m -> b.setClaimReply(MessageEncoder.encode(m)).build();
             case ClaimUpdate m -> b.setClaimUpdate(MessageEncoder.encode(m)).build();
+            case ClaimLookup m -> b.setClaimLookup(MessageEncoder.encode(m)).build();
+            case AnswerCopy m -> b.setAnswerCopy(MessageEncoder.encode(m)).build();
+            case AnswerRead m -> b.setAnswerRead(MessageEncoder.encode(m)).build();
+            case AnswerReply m -> b.setAnswerReply(MessageEncoder.encode(m)).build();
             case AllotmentRequest m -> b.setAllotmentRequest(MessageEncoder.encode(m)).build();
             case AllotmentReply m -> b.setAllotmentReply(MessageEncoder.encode(m)).build();
             case LoadReport m -> b.setLoadReport(MessageEncoder.encode(m)).build();
@@ -65,6 +73,10 @@
             case CLAIM_REQUEST -> decodeClaimRequest(e.getClaimRequest());
             case CLAIM_REPLY -> decodeClaimReply(e.getClaimReply());
             case CLAIM_UPDATE -> decodeClaimUpdate(e.getClaimUpdate());
+            case CLAIM_LOOKUP -> MessageDecoder.decodeClaimLookup(e.getClaimLookup());
+            case ANSWER_COPY -> MessageDecoder.decodeAnswerCopy(e.getAnswerCopy());
+            case ANSWER_READ -> MessageDecoder.decodeAnswerRead(e.getAnswerRead());
+            case ANSWER_REPLY -> MessageDecoder.decodeAnswerReply(e.getAnswerReply());
             case ALLOTMENT_REQUEST ->
                     new AllotmentRequest(
                             e.getAllotmentRequest().getLimit(),
--- a/wire/src/main/java/org/carobdoor/wire/MessageDecoder.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageDecoder.java
@@ -6,6 +6,10 @@
 import java.util.stream.Collectors;
 import org.carobdoor.Bytes;
 import org.carobdoor.EndpointId;
+import org.carobdoor.message.AnswerCopy;
+import org.carobdoor.message.AnswerRead;
+import org.carobdoor.message.AnswerReply;
+import org.carobdoor.message.ClaimLookup;
 import org.carobdoor.message.ClaimReply;
 import org.carobdoor.message.ClaimRequest;
 import org.carobdoor.message.ClaimUpdate;
@@ -43,6 +47,9 @@
                     case DONE -> ClaimReply.Outcome.DONE;
                     case NOT_OWNER -> ClaimReply.Outcome.NOT_OWNER;
                     case UNAVAILABLE -> ClaimReply.Outcome.UNAVAILABLE;
+                    case TOO_OLD -> ClaimReply.Outcome.TOO_OLD;
+                    case RELEASED -> ClaimReply.Outcome.RELEASED;
+                    case NOT_RECORDED -> ClaimReply.Outcome.NOT_RECORDED;
                     case UNSPECIFIED, UNRECOGNIZED ->
                             throw new IllegalArgumentException("claim reply without outcome");
                 };
@@ -54,6 +61,27 @@
                 p.getLog(), bytes(p.getKeyHash()), bytes(p.getToken()), p.getStatus());
     }
 
+    static ClaimLookup decodeClaimLookup(MessagesProto.ClaimLookup p) {
+        return new ClaimLookup(p.getLog(), bytes(p.getKeyHash()));
+    }
+
+    static AnswerCopy decodeAnswerCopy(MessagesProto.AnswerCopy p) {
+        return new AnswerCopy(
+                bytes(p.getKeyHash()),
+                p.getStatus(),
+                p.getContentType(),
+                bytes(p.getBody()),
+                Instant.ofEpochMilli(p.getAnswerKeptUntil()));
+    }
+
+    static AnswerRead decodeAnswerRead(MessagesProto.AnswerRead p) {
+        return new AnswerRead(bytes(p.getKeyHash()));
+    }
+
+    static AnswerReply decodeAnswerReply(MessagesProto.AnswerReply p) {
+        return new AnswerReply(p.getStatus(), p.getContentType(), bytes(p.getBody()));
+    }
+
     static LoadReport decodeLoad(MessagesProto.LoadReport p) {
         return new LoadReport(
                 p.getOutstandingTokensMap().entrySet().stream()
--- a/wire/src/main/java/org/carobdoor/wire/MessageEncoder.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageEncoder.java
@@ -5,6 +5,10 @@
 import org.carobdoor.Bytes;
 import org.carobdoor.message.AllotmentReply;
 import org.carobdoor.message.AllotmentRequest;
+import org.carobdoor.message.AnswerCopy;
+import org.carobdoor.message.AnswerRead;
+import org.carobdoor.message.AnswerReply;
+import org.carobdoor.message.ClaimLookup;
 import org.carobdoor.message.ClaimReply;
 import org.carobdoor.message.ClaimRequest;
 import org.carobdoor.message.ClaimUpdate;
@@ -49,6 +53,9 @@
                     case DONE -> MessagesProto.ClaimReply.Outcome.DONE;
                     case NOT_OWNER -> MessagesProto.ClaimReply.Outcome.NOT_OWNER;
                     case UNAVAILABLE -> MessagesProto.ClaimReply.Outcome.UNAVAILABLE;
+                    case TOO_OLD -> MessagesProto.ClaimReply.Outcome.TOO_OLD;
+                    case RELEASED -> MessagesProto.ClaimReply.Outcome.RELEASED;
+                    case NOT_RECORDED -> MessagesProto.ClaimReply.Outcome.NOT_RECORDED;
                 };
         return MessagesProto.ClaimReply.newBuilder()
                 .setOutcome(outcome)
@@ -67,6 +74,35 @@
                 .build();
     }
 
+    static MessagesProto.ClaimLookup encode(ClaimLookup m) {
+        return MessagesProto.ClaimLookup.newBuilder()
+                .setLog(m.log())
+                .setKeyHash(bytes(m.keyHash()))
+                .build();
+    }
+
+    static MessagesProto.AnswerCopy encode(AnswerCopy m) {
+        return MessagesProto.AnswerCopy.newBuilder()
+                .setKeyHash(bytes(m.keyHash()))
+                .setStatus(m.status())
+                .setContentType(m.contentType())
+                .setBody(bytes(m.body()))
+                .setAnswerKeptUntil(m.answerKeptUntil().toEpochMilli())
+                .build();
+    }
+
+    static MessagesProto.AnswerRead encode(AnswerRead m) {
+        return MessagesProto.AnswerRead.newBuilder().setKeyHash(bytes(m.keyHash())).build();
+    }
+
+    static MessagesProto.AnswerReply encode(AnswerReply m) {
+        return MessagesProto.AnswerReply.newBuilder()
+                .setStatus(m.status())
+                .setContentType(m.contentType())
+                .setBody(bytes(m.body()))
+                .build();
+    }
+
     static MessagesProto.AllotmentRequest encode(AllotmentRequest m) {
         return MessagesProto.AllotmentRequest.newBuilder()
                 .setLimit(m.limit())
--- a/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
+++ b/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
@@ -13,6 +13,10 @@
 import org.carobdoor.EndpointId;
 import org.carobdoor.message.AllotmentReply;
 import org.carobdoor.message.AllotmentRequest;
+import org.carobdoor.message.AnswerCopy;
+import org.carobdoor.message.AnswerRead;
+import org.carobdoor.message.AnswerReply;
+import org.carobdoor.message.ClaimLookup;
 import org.carobdoor.message.ClaimReply;
 import org.carobdoor.message.ClaimRequest;
 import org.carobdoor.message.ClaimUpdate;
@@ -45,6 +49,10 @@
                             Stream.<PeerMessage>of(
                                     new ClaimRequest(3, B, Bytes.utf8("token"), T, T.plusMillis(5)),
                                     new ClaimUpdate(15, B, Bytes.utf8("token"), 409),
+                                    new ClaimLookup(4, B),
+                                    new AnswerCopy(B, 200, "application/json", B, T),
+                                    new AnswerRead(B),
+                                    new AnswerReply(200, "text/plain", B),
                                     new AllotmentRequest("entry/bids/rps", 77),
                                     new AllotmentReply("entry/bids/rps", 12, T),
                                     new LoadReport(Map.of(new EndpointId("vm-1"), 99L)),
