--- a/node/src/main/java/org/carobdoor/node/http/HttpServer.java
+++ b/node/src/main/java/org/carobdoor/node/http/HttpServer.java
@@ -16,7 +16,7 @@
  * The HTTP server of the daemon. Handlers run on virtual threads and may block.
  *
  * <pre>{@code
- * try (HttpServer server = HttpServer.start(address, maxBody, metrics, routes).orElseThrow()) { ... }
+ * try (var server = HttpServer.start(address, maxBody, metrics, routes).orElseThrow()) { ... }
  * }</pre>
  */
 public final class HttpServer implements AutoCloseable {
--- a/node/src/main/java/org/carobdoor/node/http/ProblemResponder.java
+++ b/node/src/main/java/org/carobdoor/node/http/ProblemResponder.java
@@ -11,7 +11,7 @@
 
 /** Answers every failed request with a problem document and counts it. */
 final class ProblemResponder implements ErrorHandler {
-    private static final Logger log = LoggerFactory.getLogger(ProblemResponder.class);
+    private static final Logger LOG = LoggerFactory.getLogger(ProblemResponder.class);
     private static final int TOO_LARGE = 413;
     private static final int METHOD_NOT_ALLOWED = 405;
     private static final int SERVER_ERROR = 500;
@@ -53,7 +53,7 @@
             return Problem.notRun(status, "bad-request", code.reason());
         }
         // A fault of the program: one line with its trace, for whoever mends it.
-        log.error("request failed unexpectedly", cause);
+        LOG.error("request failed unexpectedly", cause);
         return new Problem(SERVER_ERROR, "internal-error", "the node failed", RunState.UNKNOWN);
     }
 }
