Add admission that sheds the lowest class first

Cause: an overloaded node must refuse before acceptance, and class 1 last.

Change: each class has a share of the measured capacity of an endpoint. The capacity falls at once when objectives are missed and rises slowly while they are met. The decision leaves out the size of the request, since a small request of a low class could otherwise pass where a large one of class 1 was shed; each refusal asserts that all lower classes would be refused at the same load.

Ruled out: a queue in the node. Engines hold waiting requests and order them by class, so a second queue would only hide the load from other nodes.

Seen to fail when taken out: the order of the shares (the assertion fires), the shares themselves, the increase of the capacity.

--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/admission/Admission.java
@@ -0,0 +1,81 @@
+package org.carobdoor.internal.admission;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.carobdoor.internal.catalogue.CatalogueEntry;
+
+/**
+ * Sheds the lowest class first, before a request is accepted. Thread-safe.
+ *
+ * <p>A class is admitted while the outstanding tokens of an endpoint are within its share of the
+ * measured capacity. The capacity rises slowly while objectives are met and falls at once when they
+ * are missed (additive-increase, multiplicative-decrease after Chiu and Jain, "Analysis of the
+ * Increase and Decrease Algorithms for Congestion Avoidance", 1989, with a small multiplicative
+ * increase).
+ *
+ * <p>Whether a request is shed depends on its class and the load, never on its size. A request of
+ * class 1 is therefore never shed while a lower class would be admitted to the same endpoints; this
+ * is asserted at each decision.
+ *
+ * <pre>{@code
+ * switch (admission.admit(request.targets(), entry.priority(), loads)) {
+ *     case Decision.Admitted(var targets) -> route(request.within(targets));
+ *     case Decision.Shed(var reason) -> refuse(reason);
+ * }
+ * }</pre>
+ */
+public final class Admission {
+    private final AdmissionSettings settings;
+    private final InstantSource clock;
+    private final Map<String, Pool> pools = new ConcurrentHashMap<>();
+
+    private Admission(AdmissionSettings settings, InstantSource clock) {
+        this.settings = settings;
+        this.clock = clock;
+    }
+
+    /** Returns an admission that has measured nothing yet. */
+    public static Admission create(AdmissionSettings settings, InstantSource clock) {
+        return new Admission(settings, clock);
+    }
+
+    /** Decides on a request of class {@code priority} that any of {@code targets} may serve. */
+    public Decision admit(List<String> targets, int priority, PoolLoads loads) {
+        List<String> admitted = new ArrayList<>(targets.size());
+        for (String target : targets) {
+            if (pool(target).admits(priority, loads, target)) {
+                admitted.add(target);
+            }
+        }
+        return admitted.isEmpty()
+                ? new Decision.Shed(
+                        "no capacity for class " + priority + " at " + String.join(", ", targets))
+                : new Decision.Admitted(admitted);
+    }
+
+    /**
+     * Notes how a request to {@code target} was served. Leave out requests that failed or were
+     * interrupted by a reclaim: they say nothing about capacity.
+     *
+     * @param gapMillis the mean time between tokens, 0 for an answer of one token
+     */
+    public void onServed(
+            String target, CatalogueEntry entry, double firstTokenMillis, double gapMillis) {
+        boolean met =
+                firstTokenMillis <= entry.objective().firstTokenMillis()
+                        && gapMillis <= entry.objective().tokenGapMillis();
+        pool(target).onServed(met, entry.objective().targetPercent(), clock.instant());
+    }
+
+    /** Returns the outstanding tokens that an endpoint of {@code target} can take. */
+    public double capacityPerEndpoint(String target) {
+        return pool(target).capacity();
+    }
+
+    private Pool pool(String target) {
+        return pools.computeIfAbsent(target, t -> new Pool(settings, clock.instant()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/admission/PoolLoads.java
@@ -0,0 +1,9 @@
+package org.carobdoor.internal.admission;
+
+/** Gives the present load of a target. */
+@FunctionalInterface
+public interface PoolLoads {
+
+    /** Returns the load of the endpoints that serve {@code target}. */
+    PoolLoad of(String target);
+}
