Add burn accounting by entry

Change: good and missed requests of each entry in 30 s buckets over 6 h, burn rates over 5 min, 30 min, 1 h and 6 h, the budget left, losses by cause, cost and recomputed tokens; reports of nodes add up. A report whose causes do not add up to its missed requests violates an invariant. A bucket of 30 s keeps an entry at about 6 KB and makes the 5 min window at most a tenth too long.

Seen to fail when taken out: the clearing of reused buckets, the second window of the urgency rule.

--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/burn/BurnAccount.java
@@ -0,0 +1,86 @@
+package org.carobdoor.internal.burn;
+
+import java.time.InstantSource;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.carobdoor.internal.catalogue.CatalogueEntry;
+
+/**
+ * Counts the requests of this node by entry. Thread-safe; each entry has its own lock. About 6 KB
+ * an entry.
+ *
+ * <pre>{@code
+ * var missedFor = BurnAccount.judge(entry, firstTokenMillis, gapMillis, Cause.ENGINE);
+ * burn.onFinished(entry, missedFor, cost, 0);
+ * List<EntryBurn> fleet = BurnAccount.merge(List.of(burn.report(), reportOfPeer));
+ * }</pre>
+ */
+public final class BurnAccount {
+    private final InstantSource clock;
+    private final Map<String, EntryCounter> counters = new ConcurrentHashMap<>();
+
+    private BurnAccount(InstantSource clock) {
+        this.clock = clock;
+    }
+
+    /** Returns an account with all counters at zero. */
+    public static BurnAccount create(InstantSource clock) {
+        return new BurnAccount(clock);
+    }
+
+    /**
+     * Notes a request that is over, whether served, refused or failed.
+     *
+     * @param missedFor why it missed its objective, or empty if it kept it
+     * @param cost the price of the machine time that it used
+     * @param recomputedTokens prompt and output tokens computed more than once for it
+     */
+    public void onFinished(
+            CatalogueEntry entry, Optional<Cause> missedFor, double cost, long recomputedTokens) {
+        counters.computeIfAbsent(entry.name(), n -> new EntryCounter(entry.objective()))
+                .add(
+                        entry.objective(),
+                        missedFor.orElse(null),
+                        cost,
+                        recomputedTokens,
+                        clock.millis());
+    }
+
+    /**
+     * Returns {@code cause} if a served request missed its objective, else empty.
+     *
+     * @param gapMillis the mean time between tokens, 0 for an answer of one token
+     */
+    public static Optional<Cause> judge(
+            CatalogueEntry entry, double firstTokenMillis, double gapMillis, Cause cause) {
+        boolean kept =
+                firstTokenMillis <= entry.objective().firstTokenMillis()
+                        && gapMillis <= entry.objective().tokenGapMillis();
+        return kept ? Optional.empty() : Optional.of(cause);
+    }
+
+    /** Forgets an entry that has been removed from the catalogue. */
+    public void forget(String entryName) {
+        counters.remove(entryName);
+    }
+
+    /** Returns the counts of this node, ordered by entry. */
+    public List<EntryBurn> report() {
+        long now = clock.millis();
+        return new TreeMap<>(counters)
+                .entrySet().stream().map(e -> e.getValue().report(e.getKey(), now)).toList();
+    }
+
+    /** Returns the sum of the reports of several nodes, ordered by entry. */
+    public static List<EntryBurn> merge(Collection<List<EntryBurn>> reports) {
+        Map<String, EntryBurn> sum = new TreeMap<>();
+        for (List<EntryBurn> report : reports) {
+            report.forEach(e -> sum.merge(e.name(), e, EntryBurn::plus));
+        }
+        return List.copyOf(sum.values());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/burn/Counts.java
@@ -0,0 +1,32 @@
+package org.carobdoor.internal.burn;
+
+/**
+ * Requests that kept their objective, and all requests.
+ *
+ * @param good requests that kept it
+ * @param total all requests
+ */
+public record Counts(long good, long total) {
+
+    /** No requests. */
+    public static final Counts ZERO = new Counts(0, 0);
+
+    /** Returns the sum of the two. */
+    public Counts plus(Counts other) {
+        return new Counts(good + other.good, total + other.total);
+    }
+
+    /**
+     * Returns how many times faster than allowed the error budget is used: 1 uses it up exactly.
+     *
+     * @param targetPercent the percentage of requests that must be good
+     */
+    public double burnRate(double targetPercent) {
+        if (total == 0 || good == total) {
+            return 0;
+        }
+        double allowed = 1 - targetPercent / 100;
+        double missed = (total - good) / (double) total;
+        return allowed <= 0 ? Double.POSITIVE_INFINITY : missed / allowed;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/burn/EntryBurn.java
@@ -0,0 +1,85 @@
+package org.carobdoor.internal.burn;
+
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.Map;
+import org.carobdoor.internal.Preconditions;
+import org.carobdoor.internal.catalogue.EntryObjective;
+
+/**
+ * What happened to the requests of one entry, at one node or summed over several.
+ *
+ * @param name the name of the entry
+ * @param objective its objective
+ * @param all requests since the node started; counters are soft state and restart at zero
+ * @param windows requests within each window
+ * @param causes requests that missed the objective, by cause
+ * @param cost the price of the machine time used, in the platform's currency
+ * @param recomputedTokens tokens computed more than once
+ */
+public record EntryBurn(
+        String name,
+        EntryObjective objective,
+        Counts all,
+        Map<Window, Counts> windows,
+        Map<Cause, Long> causes,
+        double cost,
+        long recomputedTokens) {
+
+    /** Copies the maps, in the order of the keys. */
+    public EntryBurn {
+        windows = Collections.unmodifiableMap(new EnumMap<>(windows));
+        causes = Collections.unmodifiableMap(new EnumMap<>(causes));
+        long missed = causes.values().stream().mapToLong(Long::longValue).sum();
+        Preconditions.checkInvariant(
+                missed == all.total() - all.good(), "causes do not add up to the missed requests");
+    }
+
+    /** Returns the burn rate over {@code window}. */
+    public double burnRate(Window window) {
+        return windows.getOrDefault(window, Counts.ZERO).burnRate(objective.targetPercent());
+    }
+
+    /**
+     * Returns the share of the error budget that is left for the requests counted so far, 1 if none
+     * is used and negative if more than all is.
+     */
+    public double budgetLeft() {
+        return 1 - all.burnRate(objective.targetPercent());
+    }
+
+    /**
+     * Returns whether the budget is used so fast that a person should look at once: at least
+     * fourteen times too fast over both 5 min and 1 h, or six times over both 30 min and 6 h.
+     *
+     * <p>Source of the rates: Beyer et al., "The Site Reliability Workbook", chapter 5, 2018.
+     */
+    public boolean isUrgent() {
+        return (burnRate(Window.M5) >= 14.4 && burnRate(Window.H1) >= 14.4)
+                || (burnRate(Window.M30) >= 6 && burnRate(Window.H6) >= 6);
+    }
+
+    /** Returns the sum of the two. The objective is that of this one. */
+    public EntryBurn plus(EntryBurn other) {
+        Preconditions.checkArgument(name.equals(other.name), "entries differ");
+        Map<Window, Counts> w = new EnumMap<>(Window.class);
+        for (Window x : Window.values()) {
+            w.put(
+                    x,
+                    windows.getOrDefault(x, Counts.ZERO)
+                            .plus(other.windows.getOrDefault(x, Counts.ZERO)));
+        }
+        Map<Cause, Long> c = new EnumMap<>(Cause.class);
+        for (Cause x : Cause.values()) {
+            c.put(x, causes.getOrDefault(x, 0L) + other.causes.getOrDefault(x, 0L));
+        }
+        return new EntryBurn(
+                name,
+                objective,
+                all.plus(other.all),
+                w,
+                c,
+                cost + other.cost,
+                recomputedTokens + other.recomputedTokens);
+    }
+}
