--- a/standins/src/main/java/org/carobdoor/standins/platform/CloudRoutes.java
+++ b/standins/src/main/java/org/carobdoor/standins/platform/CloudRoutes.java
@@ -85,7 +85,12 @@
         }
         CloudVm vm = starting(body);
         if (faults.get().refusesStart(vm.zone(), vm.machineClass())) {
-            return Reply.error(503, "no capacity for " + vm.machineClass() + " in " + vm.zone());
+            // The reason tells a refusal from a fault on the way, after which the order is unknown.
+            return new Reply(
+                    503,
+                    Json.object()
+                            .put("reason", "no_capacity")
+                            .put("error", "no capacity for " + vm.machineClass()));
         }
         String id = state.order(clientToken, vm);
         if (!id.equals(vm.id())) {
