--- a/core/src/main/java/org/carobdoor/internal/claims/BatchPlan.java
+++ b/core/src/main/java/org/carobdoor/internal/claims/BatchPlan.java
@@ -26,11 +26,21 @@
     final List<Pending> waiting = new ArrayList<>();
     final Set<Long> needed = new LinkedHashSet<>();
 
+    /** Whether a message waits until the content is known to be no older than the message. */
+    boolean stale;
+
     private final LogContent content;
     private final ClaimRules rules;
+    private final Instant confirmedAt;
 
-    BatchPlan(LogContent content, Iterable<Pending> queue, Instant now) {
+    /**
+     * Decides all messages of {@code queue}.
+     *
+     * @param confirmedAt when the content was last known to be what is stored
+     */
+    BatchPlan(LogContent content, Iterable<Pending> queue, Instant confirmedAt, Instant now) {
         this.content = content;
+        this.confirmedAt = confirmedAt;
         this.rules = new ClaimRules(content.head().forgottenUntil(), now);
         queue.forEach(this::decide);
         replies.replaceAll(settled -> withdrawIfReleased(settled));
@@ -57,6 +67,14 @@
         return entries.stream().anyMatch(entry -> !entry.writeBy().isAfter(now));
     }
 
+    /**
+     * Another owner may have recorded more. What remains true of a stale record: that the call is
+     * done, that the key is too old, and that the token was granted the claim.
+     */
+    private static boolean mayChange(Outcome outcome) {
+        return outcome != Outcome.DONE && outcome != Outcome.TOO_OLD && outcome != Outcome.GRANTED;
+    }
+
     private void decide(Pending pending) {
         OptionalLong unread = content.unread(pending.key());
         if (unread.isPresent()) {
@@ -69,6 +87,11 @@
         Decision decision = rules.decide(pending, current);
         Settled settled = new Settled(pending.ticket(), decision.reply());
         if (changed == null && decision.change().isEmpty()) {
+            if (pending.arrived().isAfter(confirmedAt) && mayChange(decision.reply().outcome())) {
+                waiting.add(pending);
+                stale = true;
+                return;
+            }
             answered.add(settled);
             return;
         }
--- a/core/src/main/java/org/carobdoor/internal/claims/ClaimLog.java
+++ b/core/src/main/java/org/carobdoor/internal/claims/ClaimLog.java
@@ -56,10 +56,6 @@
     /** Reads of segments at once while a log is loaded. */
     private static final int PARALLEL_READS = SegmentIndex.MAX_OPEN;
 
-    private static final Duration LEAST_PATIENCE = Duration.ofSeconds(1);
-
-    private static final Duration MOST_PATIENCE = Duration.ofSeconds(30);
-
     /** Outcomes of calls are repeated by their claimant, so they need not wait for long. */
     private static final Duration UPDATE_PATIENCE = Duration.ofSeconds(5);
 
@@ -84,6 +80,9 @@
     private boolean sealed;
     private boolean wanted;
     private Instant nextWriteAt = Instant.EPOCH;
+    private Instant nextRefreshAt = Instant.EPOCH;
+    private Instant startedAt = Instant.EPOCH;
+    private Instant confirmedAt = Instant.EPOCH;
     private Instant notBefore = Instant.EPOCH;
 
     /** Creates a log that is loaded when the first message arrives. */
@@ -103,19 +102,7 @@
     /** Takes a claim request; its reply comes under the returned ticket. */
     public long submit(ClaimRequest request, String from) {
         Instant now = clock.instant();
-        return queue.add(
-                request, Id128.of(request.keyHash()), from, now, patience(request.deadline(), now));
-    }
-
-    /**
-     * The deadline is a time on the claimant's clock, which may differ from this one, and a claim
-     * that is recorded too late is released by its claimant. It only bounds the queue.
-     */
-    private static Instant patience(Instant deadline, Instant now) {
-        Instant least = now.plus(LEAST_PATIENCE);
-        Instant most = now.plus(MOST_PATIENCE);
-        Instant atLeast = deadline.isBefore(least) ? least : deadline;
-        return atLeast.isAfter(most) ? most : atLeast;
+        return queue.add(request, Id128.of(request.keyHash()), from, now, now, request.deadline());
     }
 
     /** Takes an outcome; its reply comes under the returned ticket. */
@@ -123,13 +110,13 @@
         Instant now = clock.instant();
         Instant writeBy = now.plus(settings.updateDelay());
         Id128 key = Id128.of(update.keyHash());
-        return queue.add(update, key, from, writeBy, now.plus(UPDATE_PATIENCE));
+        return queue.add(update, key, from, now, writeBy, now.plus(UPDATE_PATIENCE));
     }
 
     /** Takes a look-up; its reply comes under the returned ticket. */
     public long submit(ClaimLookup lookup, Instant deadline) {
         Instant now = clock.instant();
-        return queue.add(lookup, Id128.of(lookup.keyHash()), "", now, patience(deadline, now));
+        return queue.add(lookup, Id128.of(lookup.keyHash()), "", now, now, deadline);
     }
 
     /** Loads the log before the first message arrives. */
@@ -166,6 +153,7 @@
 
     private LogOperation start(LogOperation operation) {
         current = operation;
+        startedAt = clock.instant();
         return operation;
     }
 
@@ -198,7 +186,7 @@
             conflicts.reset();
             return clean(now);
         }
-        BatchPlan plan = new BatchPlan(content, queue.waiting(), now);
+        BatchPlan plan = new BatchPlan(content, queue.waiting(), confirmedAt, now);
         queue.settle(plan.answered);
         queue.keep(plan.entries, plan.waiting);
         if (plan.isDue(now)) {
@@ -207,9 +195,21 @@
         if (!plan.needed.isEmpty()) {
             return readSegments(List.copyOf(plan.needed), now);
         }
+        if (plan.stale) {
+            return refresh(now);
+        }
         return queue.isEmpty() ? clean(now) : new LogOperation.Pause(queue.earliestWrite());
     }
 
+    /** Makes sure that no other owner has written since the waiting messages arrived. */
+    private LogOperation refresh(Instant now) {
+        if (now.isBefore(nextRefreshAt)) {
+            return new LogOperation.Pause(nextRefreshAt);
+        }
+        nextRefreshAt = now.plus(settings.writeInterval());
+        return readHead(now);
+    }
+
     private boolean isSealingDue() {
         int size = content.head().records().size() * ClaimCodec.TYPICAL_RECORD_BYTES;
         return !sealed && size > settings.sealBytes();
@@ -274,7 +274,7 @@
                             undeleted.get(0), now.plus(settings.operationTimeout())));
         }
         if (!content.trimmable(now).isEmpty()) {
-            return startWriting(new BatchPlan(content, List.of(), now), now);
+            return startWriting(new BatchPlan(content, List.of(), confirmedAt, now), now);
         }
         return content.head().segments().stream()
                 .map(SegmentInfo::latestRememberUntil)
@@ -295,6 +295,11 @@
                     phase = Phase.WRITING;
                     return;
                 }
+                if (phase == Phase.READY && version == content.version()) {
+                    failures.reset();
+                    confirmedAt = startedAt;
+                    return;
+                }
                 Result<LogHead> head =
                         found.map(value -> ClaimCodec.decodeHead(value.value()))
                                 .orElse(Result.ok(LogHead.EMPTY));
@@ -316,6 +321,7 @@
             requeue();
         }
         adopt(version, head);
+        confirmedAt = startedAt;
         phase = Phase.LOADING;
     }
 
@@ -387,6 +393,7 @@
         int trimmed = content.head().segments().size() + (sealed ? 1 : 0);
         batch = null;
         adopt(version, written.head());
+        confirmedAt = startedAt;
         listener.onWrite(written.changes());
         listener.onTrim(trimmed - written.head().segments().size());
         checkGrants(written);
--- a/core/src/main/java/org/carobdoor/internal/claims/Claimant.java
+++ b/core/src/main/java/org/carobdoor/internal/claims/Claimant.java
@@ -138,7 +138,7 @@
     private void onAnswer(ClaimReply reply) {
         switch (reply.outcome()) {
             case GRANTED -> onGranted(reply);
-            case HELD -> close(new ClaimVerdict.Held(reply.holder()));
+            case HELD -> onHeld(reply);
             case DONE -> close(new ClaimVerdict.Done(reply.status(), reply.holder()));
             case TOO_OLD -> close(new ClaimVerdict.TooOld());
             case RELEASED -> giveUp("the claim was released");
@@ -156,6 +156,15 @@
         }
     }
 
+    /** An earlier message that got no reply may have been granted the claim in the meantime. */
+    private void onHeld(ClaimReply reply) {
+        boolean askedBefore = candidate > 0;
+        close(new ClaimVerdict.Held(reply.holder()));
+        if (askedBefore) {
+            report(0);
+        }
+    }
+
     private void onGranted(ClaimReply reply) {
         Preconditions.checkInvariant(
                 reply.token().equals(request.token()), "a grant for another token");
--- a/core/src/main/java/org/carobdoor/internal/claims/MessageQueue.java
+++ b/core/src/main/java/org/carobdoor/internal/claims/MessageQueue.java
@@ -1,5 +1,6 @@
 package org.carobdoor.internal.claims;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,16 +11,39 @@
 
 /** The messages of a claim log that wait for a decision, and the replies that are due. */
 final class MessageQueue {
+    private static final Duration LEAST_PATIENCE = Duration.ofSeconds(1);
+
+    private static final Duration MOST_PATIENCE = Duration.ofSeconds(30);
+
     private final List<Pending> waiting = new ArrayList<>();
     private final List<Settled> settled = new ArrayList<>();
     private long tickets;
 
-    long add(ClaimMessage message, Id128 key, String from, Instant writeBy, Instant deadline) {
+    long add(
+            ClaimMessage message,
+            Id128 key,
+            String from,
+            Instant arrived,
+            Instant writeBy,
+            Instant deadline) {
         long ticket = tickets++;
-        waiting.add(new Pending(ticket, message, key, from, writeBy, deadline));
+        waiting.add(
+                new Pending(
+                        ticket, message, key, from, arrived, writeBy, patience(deadline, arrived)));
         return ticket;
     }
 
+    /**
+     * The deadline is a time on the claimant's clock, which may differ from this one, and a claim
+     * that is recorded too late is released by its claimant. It only bounds the queue.
+     */
+    private static Instant patience(Instant deadline, Instant now) {
+        Instant least = now.plus(LEAST_PATIENCE);
+        Instant most = now.plus(MOST_PATIENCE);
+        Instant atLeast = deadline.isBefore(least) ? least : deadline;
+        return atLeast.isAfter(most) ? most : atLeast;
+    }
+
     boolean isEmpty() {
         return waiting.isEmpty();
     }
--- a/core/src/main/java/org/carobdoor/internal/claims/Pending.java
+++ b/core/src/main/java/org/carobdoor/internal/claims/Pending.java
@@ -10,6 +10,7 @@
  * @param message the request
  * @param key the key that it is about
  * @param from the node that sent it
+ * @param arrived when it was submitted
  * @param writeBy when it should be written at the latest
  * @param deadline when it is answered with UNAVAILABLE
  */
@@ -18,5 +19,6 @@
         ClaimMessage message,
         Id128 key,
         String from,
+        Instant arrived,
         Instant writeBy,
         Instant deadline) {}
--- /dev/null
+++ b/core/src/test/java/org/carobdoor/internal/claims/KeyHistory.java
@@ -0,0 +1,35 @@
+package org.carobdoor.internal.claims;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** Records what happened to one key and checks P4. */
+final class KeyHistory {
+    private final String label;
+    private final Set<Id128> holding = new HashSet<>();
+    int sends;
+
+    KeyHistory(String label) {
+        this.label = label;
+    }
+
+    void onGrant(Claimant claimant) {
+        assertWithMessage("%s: granted while another token holds it", label)
+                .that(holding)
+                .isEmpty();
+        holding.add(claimant.token());
+    }
+
+    /** Called right before the release, and only if nothing was sent. */
+    void onRelease(Claimant claimant) {
+        holding.remove(claimant.token());
+    }
+
+    void onSend(Claimant claimant) {
+        sends++;
+        assertWithMessage("%s: sends", label).that(sends).isEqualTo(1);
+        assertWithMessage("%s: holder", label).that(holding).containsExactly(claimant.token());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/claims/AnswerExchange.java
@@ -0,0 +1,117 @@
+package org.carobdoor.node.claims;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.carobdoor.AvailabilityZone;
+import org.carobdoor.Bytes;
+import org.carobdoor.Member;
+import org.carobdoor.MembershipView;
+import org.carobdoor.NodeId;
+import org.carobdoor.PeerNetwork;
+import org.carobdoor.Result;
+import org.carobdoor.internal.Rendezvous;
+import org.carobdoor.internal.claims.Id128;
+import org.carobdoor.message.AnswerCopy;
+import org.carobdoor.message.AnswerRead;
+import org.carobdoor.message.AnswerReply;
+
+/**
+ * Keeps answers at this node and at one node in another availability zone, and finds them there.
+ */
+final class AnswerExchange {
+    private final AnswerStore store;
+    private final PeerNetwork network;
+    private final MembershipView membership;
+
+    AnswerExchange(AnswerStore store, PeerNetwork network, MembershipView membership) {
+        this.store = store;
+        this.network = network;
+        this.membership = membership;
+    }
+
+    void register() {
+        network.handle(
+                AnswerCopy.class,
+                (from, copy) -> {
+                    StoredAnswer answer =
+                            new StoredAnswer(copy.status(), copy.contentType(), copy.body());
+                    store.put(Id128.of(copy.keyHash()), answer, copy.answerKeptUntil());
+                    return null;
+                });
+        network.handle(AnswerRead.class, (from, read) -> reply(Id128.of(read.keyHash())));
+    }
+
+    void keep(Id128 key, StoredAnswer answer, Instant keptUntil) {
+        store.put(key, answer, keptUntil);
+        AnswerCopy copy =
+                new AnswerCopy(
+                        key.toBytes(),
+                        answer.status(),
+                        answer.contentType(),
+                        answer.body(),
+                        keptUntil);
+        copyHolder(key, membership.self().zone()).ifPresent(node -> network.send(node, copy));
+    }
+
+    Optional<StoredAnswer> local(Id128 key) {
+        return store.get(key);
+    }
+
+    /** Looks here, at {@code holder}, and at the node that keeps the copy. */
+    Optional<StoredAnswer> find(Id128 key, String holder, Instant deadline) {
+        Optional<StoredAnswer> here = store.get(key);
+        if (here.isPresent() || holder.isBlank()) {
+            return here;
+        }
+        for (NodeId node : keepers(key, new NodeId(holder))) {
+            Result<StoredAnswer> read =
+                    network.call(node, new AnswerRead(key.toBytes()), deadline)
+                            .map(
+                                    message ->
+                                            message
+                                                            instanceof
+                                                            AnswerReply(
+                                                                    var status,
+                                                                    var type,
+                                                                    var body)
+                                                    ? new StoredAnswer(status, type, body)
+                                                    : new StoredAnswer(0, "", Bytes.empty()));
+            if (read instanceof Result.Ok<StoredAnswer>(var answer) && answer.status() != 0) {
+                return Optional.of(answer);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private List<NodeId> keepers(Id128 key, NodeId holder) {
+        NodeId self = membership.self().id();
+        List<NodeId> keepers = new ArrayList<>();
+        boolean live = membership.live().stream().anyMatch(member -> member.id().equals(holder));
+        if (live) {
+            keepers.add(holder);
+        }
+        membership
+                .find(holder)
+                .flatMap(member -> copyHolder(key, member.zone()))
+                .ifPresent(keepers::add);
+        keepers.remove(self);
+        return keepers;
+    }
+
+    /** The first node by rendezvous hashing outside the zone of the answer's first keeper. */
+    private Optional<NodeId> copyHolder(Id128 key, AvailabilityZone outside) {
+        List<Member> others =
+                membership.live().stream().filter(m -> !m.zone().equals(outside)).toList();
+        return Rendezvous.rank(key.toString(), others, m -> m.id().value()).stream()
+                .findFirst()
+                .map(Member::id);
+    }
+
+    private AnswerReply reply(Id128 key) {
+        return store.get(key)
+                .map(a -> new AnswerReply(a.status(), a.contentType(), a.body()))
+                .orElse(new AnswerReply(0, "", Bytes.empty()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/claims/OwnerClient.java
@@ -0,0 +1,49 @@
+package org.carobdoor.node.claims;
+
+import java.time.Instant;
+import java.util.List;
+import org.carobdoor.FailureKind;
+import org.carobdoor.NodeId;
+import org.carobdoor.PeerNetwork;
+import org.carobdoor.Result;
+import org.carobdoor.message.ClaimMessage;
+import org.carobdoor.message.ClaimReply;
+import org.carobdoor.message.PeerMessage;
+
+/** Asks the owner of a claim log, which may be this node itself. */
+final class OwnerClient {
+    private final NodeId self;
+    private final PeerNetwork network;
+    private final LogOwners owners;
+    private final OwnedLogs local;
+
+    OwnerClient(NodeId self, PeerNetwork network, LogOwners owners, OwnedLogs local) {
+        this.self = self;
+        this.network = network;
+        this.owners = owners;
+        this.local = local;
+    }
+
+    /** Asks the node in place {@code candidate} of the ranking, modulo its length. */
+    Result<ClaimReply> ask(int log, int candidate, ClaimMessage message, Instant deadline) {
+        List<NodeId> serving = owners.serving(log);
+        if (serving.isEmpty()) {
+            return Result.err(FailureKind.NOT_DONE, "claims.ask", "none", "no live node");
+        }
+        NodeId owner = serving.get(Math.floorMod(candidate, serving.size()));
+        if (owner.equals(self)) {
+            return Result.ok(local.ask(message, self.value(), deadline));
+        }
+        return network.call(owner, message, deadline).flatMap(reply -> expect(owner, reply));
+    }
+
+    private static Result<ClaimReply> expect(NodeId owner, PeerMessage reply) {
+        return reply instanceof ClaimReply claimReply
+                ? Result.ok(claimReply)
+                : Result.err(
+                        FailureKind.UNKNOWN,
+                        "claims.ask",
+                        owner.value(),
+                        "unexpected reply " + reply.getClass().getSimpleName());
+    }
+}
