Add the fleet planner

Cause: one node must keep enough VMs at least cost, so that the loss of the largest zone leaves the latency target standing.

Change: FleetPlanner returns writes, orders and releases. An order is stored with its client token before it is placed, and the state that bounds the order rate is one stored instant, so both survive a change of holder. Orders that are not yet visible in the lagging list count as held. Refused offers are left alone with exponential back-off by zone, class and pricing, so that a refused reclaimable start does not delay an on-demand one. An excess is released dearest first after a time.

Ruled out: an optimal placement. The greedy one costs at most about one VM more and needs no solver.

Seen to fail when taken out: the rate bound, the stored instant at a change of holder, the stored orders at a change of holder, counting unseen orders as held, the doubling of the back-off.

--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/fleet/FleetState.java
@@ -0,0 +1,92 @@
+package org.carobdoor.internal.fleet;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.carobdoor.AvailabilityZone;
+import org.carobdoor.Bytes;
+import org.carobdoor.EndpointId;
+
+/**
+ * What a new holder of the lease must know of its predecessors, kept at {@code fleet/state}.
+ *
+ * @param fencing the fencing number of the writer
+ * @param batch the number of the write by that writer
+ * @param orderFrom the instant that bounds the order rate, see {@link OrderRate}
+ * @param orders orders that do not show in the platform's list yet
+ */
+public record FleetState(long fencing, long batch, Instant orderFrom, List<FleetOrder> orders) {
+
+    /** Copies the list. */
+    public FleetState {
+        orders = List.copyOf(orders);
+    }
+
+    /** Returns the state before any order. */
+    public static FleetState initial() {
+        return new FleetState(0, 0, Instant.EPOCH, List.of());
+    }
+
+    /** Encodes the state, one line an order with fields separated by tabs. */
+    public Bytes encode() {
+        StringBuilder out = new StringBuilder();
+        out.append(fencing).append('\t').append(batch).append('\t').append(orderFrom);
+        for (FleetOrder o : orders) {
+            Offer f = o.offer();
+            out.append('\n')
+                    .append(
+                            String.join(
+                                    "\t",
+                                    o.clientToken(),
+                                    f.zone().value(),
+                                    f.machineClass(),
+                                    Boolean.toString(f.reclaimable()),
+                                    Double.toString(f.pricePerHour()),
+                                    Double.toString(f.capacity()),
+                                    o.resendAt().toString(),
+                                    o.lostAt().toString(),
+                                    o.vm().map(EndpointId::value).orElse("-")));
+        }
+        return Bytes.utf8(out.toString());
+    }
+
+    /**
+     * Decodes what {@link #encode()} made.
+     *
+     * @throws IllegalArgumentException if {@code bytes} hold anything else
+     */
+    public static FleetState decode(Bytes bytes) {
+        try {
+            List<String> lines = bytes.toUtf8().lines().toList();
+            String[] head = lines.getFirst().split("\t", -1);
+            List<FleetOrder> orders = new ArrayList<>();
+            for (String line : lines.subList(1, lines.size())) {
+                orders.add(decodeOrder(line.split("\t", -1)));
+            }
+            return new FleetState(
+                    Long.parseLong(head[0]),
+                    Long.parseLong(head[1]),
+                    Instant.parse(head[2]),
+                    orders);
+        } catch (RuntimeException e) {
+            throw new IllegalArgumentException("fleet state is not readable", e);
+        }
+    }
+
+    private static FleetOrder decodeOrder(String[] f) {
+        Offer offer =
+                new Offer(
+                        new AvailabilityZone(f[1]),
+                        f[2],
+                        Boolean.parseBoolean(f[3]),
+                        Double.parseDouble(f[4]),
+                        Double.parseDouble(f[5]));
+        return new FleetOrder(
+                f[0],
+                offer,
+                Instant.parse(f[6]),
+                Instant.parse(f[7]),
+                f[8].equals("-") ? Optional.empty() : Optional.of(new EndpointId(f[8])));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/fleet/SpreadPlan.java
@@ -0,0 +1,103 @@
+package org.carobdoor.internal.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.carobdoor.AvailabilityZone;
+
+/**
+ * Chooses what to add so that the need is met after the loss of the largest availability zone.
+ *
+ * <p>It adds one VM at a time: the one with the lowest price of a unit of capacity outside the
+ * largest zone, since only such a VM raises what is left after the loss of that zone. Greedy, so
+ * the cost can exceed the least one by the price of about one VM.
+ */
+final class SpreadPlan {
+    private final Map<AvailabilityZone, Double> byZone = new HashMap<>();
+    private double total;
+    private double onDemand;
+
+    SpreadPlan(Collection<Offer> held) {
+        held.forEach(this::add);
+    }
+
+    void add(Offer offer) {
+        change(offer, 1);
+    }
+
+    private void change(Offer offer, int sign) {
+        byZone.merge(offer.zone(), sign * offer.capacity(), Double::sum);
+        total += sign * offer.capacity();
+        onDemand += offer.reclaimable() ? 0 : sign * offer.capacity();
+    }
+
+    /** Returns the capacity held. */
+    double total() {
+        return total;
+    }
+
+    /** Returns what is left after the loss of the largest zone. */
+    double left() {
+        return total - byZone.values().stream().mapToDouble(x -> x).max().orElse(0);
+    }
+
+    boolean meets(FleetNeed need) {
+        // The margin absorbs rounding errors of sums.
+        return left() >= need.capacity() - 1e-6 && onDemand >= need.onDemandCapacity() - 1e-6;
+    }
+
+    /** Returns whether the need is still met without {@code offer}, which is held. */
+    boolean canSpare(Offer offer, FleetNeed need) {
+        change(offer, -1);
+        boolean spare = meets(need);
+        change(offer, 1);
+        return spare;
+    }
+
+    /** Returns the offers to take, at most {@code limit}, as far as {@code available} allows. */
+    List<Offer> additions(FleetNeed need, Collection<Offer> available, int limit) {
+        List<Offer> out = new ArrayList<>();
+        while (out.size() < limit && !meets(need)) {
+            Optional<Offer> next = next(need, available);
+            if (next.isEmpty()) {
+                break;
+            }
+            add(next.get());
+            out.add(next.get());
+        }
+        return out;
+    }
+
+    private Optional<Offer> next(FleetNeed need, Collection<Offer> available) {
+        boolean mustBeOnDemand = onDemand < need.onDemandCapacity() - 1e-6;
+        double largest = byZone.values().stream().mapToDouble(x -> x).max().orElse(0);
+        Comparator<Offer> order =
+                Comparator.comparing((Offer o) -> sizeOf(o.zone()) >= largest && largest > 0)
+                        .thenComparingDouble(Offer::unitPrice)
+                        .thenComparingDouble(o -> sizeOf(o.zone()))
+                        .thenComparing(Offer::zone)
+                        .thenComparing(Offer::machineClass);
+        Optional<Offer> best =
+                available.stream().filter(o -> !mustBeOnDemand || !o.reclaimable()).min(order);
+        boolean isOutsideLargest = best.isPresent() && sizeOf(best.get().zone()) < largest;
+        // With all zones equal, a VM in any zone prepares the next step. With only the largest zone
+        // on offer, more there would not survive its loss, and is added only if it is needed now.
+        boolean isEven = byZone.values().stream().allMatch(x -> x >= largest - 1e-6);
+        boolean isNeededNow = mustBeOnDemand || total < need.capacity();
+        return isOutsideLargest || isNeededNow || (isEven && zonesOf(available) > 1)
+                ? best
+                : Optional.empty();
+    }
+
+    private double sizeOf(AvailabilityZone zone) {
+        return byZone.getOrDefault(zone, 0.0);
+    }
+
+    private static long zonesOf(Collection<Offer> offers) {
+        return offers.stream().map(Offer::zone).distinct().count();
+    }
+}
