Serve requests end to end: daemon, quickstart, latency bench

Cause: the parts existed side by side, nothing served a caller. Change: composition of the daemon, admin, service and model routes, endpoint feed, launcher scripts, a local cluster of separate processes, the quickstart that shows a draft, a bid that runs once, and a catalogue change on six nodes.

--- /dev/null
+++ b/bench/src/main/java/org/carobdoor/bench/latency/NodeLatency.java
@@ -0,0 +1,276 @@
+package org.carobdoor.bench.latency;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import okhttp3.Dispatcher;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okio.BufferedSource;
+import org.HdrHistogram.Histogram;
+import org.carobdoor.bench.cluster.ClusterPlan;
+import org.carobdoor.bench.cluster.Entries;
+import org.carobdoor.bench.cluster.HttpProbe;
+import org.carobdoor.bench.cluster.LocalCluster;
+import org.carobdoor.bench.cluster.ProcessStats;
+
+/**
+ * Measures one node of a {@link LocalCluster} against calling the stand-ins directly in the same
+ * run: added latency of plain calls, of bids and of first tokens, streamed tokens a second and
+ * their processor time, and resident memory.
+ */
+public final class NodeLatency {
+    private static final String NODE = "node-a-1";
+    private static final int WARM_UP = 3_000;
+    private static final int CALLS = 5_000;
+    private static final int BIDS = 500;
+    private static final int OPEN_STREAMS = 1_000;
+    private static final int BUSY_STREAMS = 100;
+    private static final int TOKENS = 400;
+    private static final double MICROS_PER_MILLI = 1_000;
+    private static final long MIB = 1 << 20;
+
+    private final LocalCluster cluster;
+    private final HttpProbe http;
+    private final OkHttpClient streams;
+
+    private NodeLatency(LocalCluster cluster) {
+        this.cluster = cluster;
+        this.http = cluster.http();
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(2 * OPEN_STREAMS);
+        dispatcher.setMaxRequestsPerHost(2 * OPEN_STREAMS);
+        this.streams =
+                new OkHttpClient.Builder()
+                        .dispatcher(dispatcher)
+                        .readTimeout(Duration.ofMinutes(2))
+                        .build();
+    }
+
+    /** Runs the measurement and prints a table in Markdown. */
+    public static void main(String[] args) throws Exception {
+        Path root = Path.of(args.length > 0 ? args[0] : ".").toAbsolutePath().normalize();
+        Path runDir = Files.createTempDirectory("carobdoor-latency");
+        ClusterPlan plan = new ClusterPlan(3, 1, 2, 1, 5, "");
+        try (LocalCluster cluster = LocalCluster.start(plan, root, runDir)) {
+            cluster.awaitReady(Duration.ofSeconds(60));
+            new NodeLatency(cluster).run();
+        }
+    }
+
+    private void run() throws Exception {
+        Entries.create(cluster);
+        System.out.println(
+                "| what | direct p50 | direct p99 | node p50 | node p99 | added p50 | added p99 |");
+        System.out.println("|---|---|---|---|---|---|---|");
+        plainCalls();
+        bids();
+        firstTokens();
+        idleMemory();
+        busyStreams();
+        openStreams();
+    }
+
+    private void plainCalls() throws IOException {
+        String direct = cluster.url("service-a-1") + "/checks/balance";
+        String node = cluster.url(NODE) + "/services/checks/balance";
+        for (int i = 0; i < WARM_UP; i++) {
+            timedGet(direct);
+            timedGet(node);
+        }
+        Histogram d = new Histogram(3);
+        Histogram n = new Histogram(3);
+        for (int i = 0; i < CALLS; i++) {
+            // Alternating, so that a disturbance of the machine falls on both.
+            d.recordValue(timedGet(direct));
+            n.recordValue(timedGet(node));
+        }
+        row("balance check (GET), " + CALLS + " calls", d, n);
+    }
+
+    private void bids() throws IOException {
+        String direct = cluster.url("service-a-1") + "/bids/lot-1";
+        String node = cluster.url(NODE) + "/services/bids/lot-1";
+        Histogram d = new Histogram(3);
+        Histogram n = new Histogram(3);
+        long second = System.currentTimeMillis() / 1_000;
+        for (int i = 0; i < 2 * BIDS; i++) {
+            long a = timedPost(direct, second + ":d" + i);
+            long b = timedPost(node, second + ":n" + i);
+            if (i >= BIDS) {
+                d.recordValue(a);
+                n.recordValue(b);
+            }
+        }
+        row("bid (claimed, one at a time), " + BIDS + " calls", d, n);
+    }
+
+    private void firstTokens() throws IOException {
+        Histogram d = new Histogram(3);
+        Histogram n = new Histogram(3);
+        for (int i = 0; i < 2 * BIDS; i++) {
+            long a = firstToken(cluster.url("engine-a-1"), "draft", i);
+            long b = firstToken(cluster.url(NODE), "lot-drafts", i);
+            if (i >= BIDS) {
+                d.recordValue(a);
+                n.recordValue(b);
+            }
+        }
+        row("first token of a stream, " + BIDS + " streams", d, n);
+    }
+
+    private void idleMemory() throws Exception {
+        Thread.sleep(2_000);
+        long pid = cluster.process(NODE).pid();
+        ProcessStats before = ProcessStats.of(pid);
+        Thread.sleep(10_000);
+        ProcessStats after = ProcessStats.of(pid);
+        double percent = (after.cpuSeconds() - before.cpuSeconds()) * 10;
+        System.out.printf(
+                "%nidle node: %d MiB resident, %.1f%% of a core over 10 s%n",
+                after.residentBytes() / MIB, percent);
+    }
+
+    private void busyStreams() throws Exception {
+        long pid = cluster.process(NODE).pid();
+        ProcessStats before = ProcessStats.of(pid);
+        long start = System.nanoTime();
+        long tokens = runStreams(BUSY_STREAMS, TOKENS, () -> {});
+        double seconds = (System.nanoTime() - start) / 1e9;
+        double cpu = ProcessStats.of(pid).cpuSeconds() - before.cpuSeconds();
+        System.out.printf(
+                "%d streams of %d tokens: %.0f tokens/s, %.0f tokens per core-second%n",
+                BUSY_STREAMS, TOKENS, tokens / seconds, tokens / cpu);
+    }
+
+    private void openStreams() throws Exception {
+        long pid = cluster.process(NODE).pid();
+        AtomicLong resident = new AtomicLong();
+        long tokens =
+                runStreams(
+                        OPEN_STREAMS,
+                        TOKENS,
+                        () -> {
+                            try {
+                                resident.set(ProcessStats.of(pid).residentBytes());
+                            } catch (IOException e) {
+                                resident.set(-1);
+                            }
+                        });
+        System.out.printf(
+                "%d open streams: %d MiB resident; %d of %d tokens arrived%n",
+                OPEN_STREAMS, resident.get() / MIB, tokens, (long) OPEN_STREAMS * TOKENS);
+    }
+
+    /** Opens streams, calls {@code allOpen} once each has a token, and returns all tokens read. */
+    private long runStreams(int count, int tokens, Runnable allOpen) throws Exception {
+        AtomicLong total = new AtomicLong();
+        CountDownLatch open = new CountDownLatch(count);
+        CountDownLatch done = new CountDownLatch(count);
+        for (int i = 0; i < count; i++) {
+            int n = i;
+            Thread.ofVirtual()
+                    .start(
+                            () -> {
+                                total.addAndGet(readStream(n, tokens, open));
+                                done.countDown();
+                            });
+        }
+        open.await(60, TimeUnit.SECONDS);
+        allOpen.run();
+        done.await(120, TimeUnit.SECONDS);
+        return total.get();
+    }
+
+    private long readStream(int n, int tokens, CountDownLatch open) {
+        Request request = streamRequest(cluster.url(NODE), "lot-drafts", n, tokens);
+        long read = 0;
+        try (Response r = streams.newCall(request).execute()) {
+            BufferedSource source = r.body().source();
+            String line = source.readUtf8Line();
+            while (line != null) {
+                if (line.contains("\"content\":\"") && !line.contains("\"content\":\"\"")) {
+                    read++;
+                    if (read == 1) {
+                        open.countDown();
+                    }
+                }
+                line = source.readUtf8Line();
+            }
+        } catch (IOException e) {
+            System.err.println("stream " + n + ": " + e);
+        }
+        return read;
+    }
+
+    private long firstToken(String url, String model, int n) throws IOException {
+        Request request = streamRequest(url, model, n, 1);
+        long start = System.nanoTime();
+        try (Response r = streams.newCall(request).execute()) {
+            r.body().source().readUtf8Line();
+            long micros = (System.nanoTime() - start) / 1_000;
+            r.body().string();
+            return micros;
+        }
+    }
+
+    private static Request streamRequest(String url, String model, int n, int tokens) {
+        String json =
+                """
+                {"model": "%s", "stream": true, "max_tokens": %d,
+                 "messages": [{"role": "user", "content": "lot %d"}]}
+                """
+                        .formatted(model, tokens, n);
+        return new Request.Builder()
+                .url(url + "/v1/chat/completions")
+                .header("Authorization", "Bearer " + LocalCluster.CALLER_KEY)
+                .post(RequestBody.create(json, MediaType.get("application/json")))
+                .build();
+    }
+
+    private long timedGet(String url) throws IOException {
+        long start = System.nanoTime();
+        HttpProbe.Answer a = http.get(url, LocalCluster.CALLER_KEY);
+        return checked(a, start);
+    }
+
+    private long timedPost(String url, String key) throws IOException {
+        long start = System.nanoTime();
+        Map<String, String> headers = Map.of("Idempotency-Key", key);
+        HttpProbe.Answer a = http.send("POST", url, LocalCluster.CALLER_KEY, "{}", headers);
+        return checked(a, start);
+    }
+
+    private static long checked(HttpProbe.Answer answer, long start) throws IOException {
+        long micros = (System.nanoTime() - start) / 1_000;
+        if (answer.status() != 200) {
+            throw new IOException("status " + answer.status() + ": " + answer.body());
+        }
+        return micros;
+    }
+
+    private static void row(String what, Histogram direct, Histogram node) {
+        System.out.print("| " + what);
+        for (Histogram h : List.of(direct, node)) {
+            for (double percentile : new double[] {50, 99}) {
+                System.out.printf(" | %.2f ms", millis(h, percentile));
+            }
+        }
+        System.out.printf(
+                " | %.2f ms | %.2f ms |%n",
+                millis(node, 50) - millis(direct, 50), millis(node, 99) - millis(direct, 99));
+    }
+
+    private static double millis(Histogram h, double percentile) {
+        return h.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+}
--- a/core/src/main/java/org/carobdoor/internal/endpoint/EndpointRecord.java
+++ b/core/src/main/java/org/carobdoor/internal/endpoint/EndpointRecord.java
@@ -41,4 +41,23 @@
     public EndpointRecord {
         models = Set.copyOf(models);
     }
+
+    /** Returns this record after its reclaim was announced. */
+    public EndpointRecord leaving(Instant noticedAt, Instant reclaimAt) {
+        EndpointState next =
+                state.compareTo(EndpointState.LEAVING) < 0 ? EndpointState.LEAVING : state;
+        return new EndpointRecord(
+                id,
+                zone,
+                address,
+                service,
+                models,
+                machineClass,
+                reclaimable,
+                pricePerHour,
+                checksFencing,
+                next,
+                Optional.of(noticedAt),
+                Optional.of(reclaimAt));
+    }
 }
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/Carobdoord.java
@@ -0,0 +1,80 @@
+package org.carobdoor.node;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.carobdoor.Failure;
+import org.carobdoor.Result;
+import org.carobdoor.node.logging.LogSetup;
+import org.carobdoor.node.settings.NodeSettings;
+import org.carobdoor.node.settings.SettingsLoader;
+
+/**
+ * The daemon that runs on every entry VM.
+ *
+ * <pre>
+ * carobdoord --settings node.toml
+ * carobdoord --settings node.toml --check
+ * </pre>
+ */
+public final class Carobdoord {
+    private static final int EXIT_FAILURE = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private Carobdoord() {}
+
+    /** Runs the daemon until it is told to stop; exits with 0 after a graceful shutdown. */
+    public static void main(String[] args) throws InterruptedException {
+        DaemonOptions options = new DaemonOptions();
+        JCommander commander =
+                JCommander.newBuilder().programName("carobdoord").addObject(options).build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println("carobdoord: " + e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+        if (options.help) {
+            commander.usage();
+            return;
+        }
+        switch (SettingsLoader.load(Path.of(options.settings))) {
+            case Result.Err<NodeSettings>(Failure failure) -> {
+                System.err.println(failure.detail());
+                System.exit(EXIT_FAILURE);
+            }
+            case Result.Ok<NodeSettings>(NodeSettings settings) -> {
+                if (options.check) {
+                    System.out.println(options.settings + ": ok");
+                    return;
+                }
+                run(settings);
+            }
+        }
+    }
+
+    private static void run(NodeSettings settings) throws InterruptedException {
+        LogSetup.apply(settings.log());
+        switch (Node.start(settings)) {
+            case Result.Err<Node>(Failure failure) -> {
+                System.err.println("carobdoord: " + failure);
+                System.err.println("see docs/TROUBLESHOOTING.md#start");
+                System.exit(EXIT_FAILURE);
+            }
+            case Result.Ok<Node>(Node node) -> {
+                CountDownLatch stopped = new CountDownLatch(1);
+                Thread stop =
+                        new Thread(
+                                () -> {
+                                    node.stopGracefully();
+                                    node.close();
+                                    stopped.countDown();
+                                },
+                                "stop");
+                Runtime.getRuntime().addShutdownHook(stop);
+                stopped.await();
+            }
+        }
+    }
+}
--- a/node/src/main/java/org/carobdoor/node/catalogue/CatalogueView.java
+++ b/node/src/main/java/org/carobdoor/node/catalogue/CatalogueView.java
@@ -57,7 +57,7 @@
     }
 
     private static boolean hasPrefix(String path, String prefix) {
-        // "/bids" must not match "/bidsandmore".
-        return path.equals(prefix) || path.startsWith(prefix.endsWith("/") ? prefix : prefix + "/");
+        // Whole segments only: "/bidsandmore" is not below "bids".
+        return path.equals("/" + prefix) || path.startsWith("/" + prefix + "/");
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointFeed.java
@@ -0,0 +1,162 @@
+package org.carobdoor.node.endpoint;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.carobdoor.EndpointId;
+import org.carobdoor.Result;
+import org.carobdoor.internal.endpoint.EndpointRecord;
+import org.carobdoor.internal.endpoint.EndpointState;
+import org.carobdoor.internal.routing.EndpointImage;
+import org.carobdoor.internal.routing.EndpointView;
+import org.carobdoor.node.metrics.NodeMetrics;
+import org.carobdoor.platform.cloud.CloudClient;
+import org.carobdoor.platform.cloud.NoticeList;
+import org.carobdoor.platform.cloud.ReclaimNotice;
+import org.carobdoor.platform.cloud.VmList;
+
+/**
+ * Reads the platform's list of VMs and its reclaim notices into the view of endpoints, and
+ * publishes what it learns to the other nodes.
+ *
+ * <p>Only the nodes that are readers of their availability zone call the platform; the others get
+ * the records from them. So the calls grow with the zones and not with the nodes.
+ */
+public final class EndpointFeed implements AutoCloseable {
+    private static final Duration LIST_INTERVAL = Duration.ofSeconds(2);
+    private static final Duration READER_CHECK = Duration.ofMillis(500);
+    private static final Duration LIST_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration NOTICE_WAIT = Duration.ofSeconds(20);
+
+    private final CloudClient cloud;
+    private final EndpointView view;
+    private final BooleanSupplier reader;
+    private final Consumer<List<EndpointRecord>> publish;
+    private final Consumer<ReclaimNotice> onNotice;
+    private final NodeMetrics metrics;
+    private final InstantSource clock;
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final AtomicBoolean listed = new AtomicBoolean();
+
+    /** Notices by VM: the list can show a VM as live after its notice, or for the first time. */
+    private final ConcurrentMap<EndpointId, ReclaimNotice> notices = new ConcurrentHashMap<>();
+
+    private final List<Thread> threads;
+
+    /**
+     * Starts reading.
+     *
+     * @param reader returns whether this node reads for its availability zone
+     * @param publish gets records that changed here
+     * @param onNotice gets each notice, also those of entry VMs
+     */
+    public EndpointFeed(
+            CloudClient cloud,
+            EndpointView view,
+            BooleanSupplier reader,
+            Consumer<List<EndpointRecord>> publish,
+            Consumer<ReclaimNotice> onNotice,
+            NodeMetrics metrics,
+            InstantSource clock) {
+        this.cloud = cloud;
+        this.view = view;
+        this.reader = reader;
+        this.publish = publish;
+        this.onNotice = onNotice;
+        this.metrics = metrics;
+        this.clock = clock;
+        this.threads =
+                List.of(
+                        Thread.ofVirtual().name("vm-list").start(this::readLists),
+                        Thread.ofVirtual().name("notices").start(this::readNotices));
+    }
+
+    /** Returns whether the list has been read at least once. */
+    public boolean hasListed() {
+        return listed.get();
+    }
+
+    private void readLists() {
+        while (sleepUnlessReader()) {
+            Instant deadline = clock.instant().plus(LIST_TIMEOUT);
+            switch (cloud.vms(deadline)) {
+                case Result.Ok<VmList>(var list) -> takeList(list.endpoints());
+                case Result.Err<VmList>(var failure) -> metrics.event("vm_list_failed", 1);
+            }
+            sleep(LIST_INTERVAL);
+        }
+    }
+
+    private void takeList(List<EndpointRecord> list) {
+        List<EndpointRecord> endpoints = list.stream().map(this::withNotice).toList();
+        view.applyList(endpoints);
+        listed.set(true);
+        List<EndpointRecord> known =
+                endpoints.stream()
+                        .map(e -> view.find(e.id()).map(EndpointImage::record).orElse(e))
+                        .filter(e -> e.state() != EndpointState.STARTING)
+                        .toList();
+        publish.accept(known);
+    }
+
+    private EndpointRecord withNotice(EndpointRecord record) {
+        ReclaimNotice notice = notices.get(record.id());
+        return notice == null ? record : record.leaving(notice.noticedAt(), notice.reclaimAt());
+    }
+
+    private void readNotices() {
+        long after = 0;
+        while (sleepUnlessReader()) {
+            Instant deadline = clock.instant().plus(NOTICE_WAIT);
+            switch (cloud.notices(after, deadline)) {
+                case Result.Ok<NoticeList>(var list) -> {
+                    after = list.sequence();
+                    list.notices().forEach(this::takeNotice);
+                }
+                case Result.Err<NoticeList>(var failure) -> {
+                    metrics.event("notices_failed", 1);
+                    sleep(READER_CHECK);
+                }
+            }
+        }
+    }
+
+    private void takeNotice(ReclaimNotice notice) {
+        metrics.event("reclaim_notice", 1);
+        EndpointId id = new EndpointId(notice.vmId());
+        notices.put(id, notice);
+        view.onNotice(id, notice.noticedAt(), notice.reclaimAt());
+        Optional<EndpointRecord> record = view.find(id).map(EndpointImage::record);
+        record.ifPresent(r -> publish.accept(List.of(r)));
+        onNotice.accept(notice);
+    }
+
+    /** Waits while this node is no reader; returns false when the feed is closed. */
+    private boolean sleepUnlessReader() {
+        while (!closed.get() && !reader.getAsBoolean()) {
+            sleep(READER_CHECK);
+        }
+        return !closed.get();
+    }
+
+    private static void sleep(Duration time) {
+        try {
+            Thread.sleep(time);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        closed.set(true);
+        threads.forEach(Thread::interrupt);
+    }
+}
--- a/node/src/main/java/org/carobdoor/node/endpoint/EndpointHttp.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointHttp.java
@@ -10,6 +10,8 @@
 import okhttp3.Response;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
+import org.carobdoor.platform.http.SendTrace;
+import org.carobdoor.platform.http.SingleAttemptHttp;
 
 /**
  * The HTTP client towards endpoints. It sends each call at most once: no retries, no redirects.
@@ -37,35 +39,30 @@
      */
     public static EndpointHttp create(Duration connectTimeout, Duration progressTimeout) {
         OkHttpClient client =
-                new OkHttpClient.Builder()
+                SingleAttemptHttp.newBuilder()
                         .connectTimeout(connectTimeout)
                         .readTimeout(progressTimeout)
                         .writeTimeout(progressTimeout)
-                        .retryOnConnectionFailure(false)
-                        .followRedirects(false)
-                        .followSslRedirects(false)
                         .connectionPool(
                                 new ConnectionPool(
                                         MAX_IDLE_CONNECTIONS, IDLE_MINUTES, TimeUnit.MINUTES))
-                        .addNetworkInterceptor(new SingleSendInterceptor())
                         .build();
         return new EndpointHttp(client);
     }
 
     /** Prepares a call that is abandoned after {@code timeout}. */
-    Call prepare(Request request, SendTracker tracker, Duration timeout) {
-        Request tagged = request.newBuilder().tag(SendTracker.class, tracker).build();
-        Call call = client.newCall(tagged);
+    Call prepare(Request request, SendTrace trace, Duration timeout) {
+        Call call = client.newCall(SingleAttemptHttp.traced(request, trace));
         call.timeout().timeout(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
         return call;
     }
 
     /** Executes {@code call}; a failure says whether a byte can have been sent. */
-    static Result<Response> execute(Call call, SendTracker tracker, String step, String peer) {
+    static Result<Response> execute(Call call, SendTrace trace, String step, String peer) {
         try {
             return Result.ok(call.execute());
         } catch (IOException e) {
-            FailureKind kind = tracker.hasStarted() ? FailureKind.UNKNOWN : FailureKind.NOT_DONE;
+            FailureKind kind = trace.mayHaveBeenSent() ? FailureKind.UNKNOWN : FailureKind.NOT_DONE;
             return Result.err(kind, step, peer, e.toString());
         }
     }
--- a/node/src/main/java/org/carobdoor/node/endpoint/EngineClient.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EngineClient.java
@@ -14,6 +14,7 @@
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
 import org.carobdoor.internal.endpoint.EndpointRecord;
+import org.carobdoor.platform.http.SendTrace;
 
 /**
  * Opens token streams at model engines.
@@ -55,14 +56,14 @@
     public Result<EngineCall> open(
             EndpointRecord endpoint, String model, EngineRequest request, Instant deadline) {
         String peer = endpoint.address().toString();
-        SendTracker tracker = new SendTracker();
+        SendTrace trace = new SendTrace();
         Request httpRequest =
                 new Request.Builder()
                         .url(Urls.of(endpoint, request.chat() ? Urls.CHAT : Urls.COMPLETIONS))
                         .post(RequestBody.create(body(model, request), JSON))
                         .build();
-        Call call = http.prepare(httpRequest, tracker, Duration.between(clock.instant(), deadline));
-        return EndpointHttp.execute(call, tracker, STEP_OPEN, peer)
+        Call call = http.prepare(httpRequest, trace, Duration.between(clock.instant(), deadline));
+        return EndpointHttp.execute(call, trace, STEP_OPEN, peer)
                 .flatMap(response -> checkStatus(call, response, peer));
     }
 
--- a/node/src/main/java/org/carobdoor/node/http/CallerGuard.java
+++ b/node/src/main/java/org/carobdoor/node/http/CallerGuard.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.carobdoor.ClientAccount;
 import org.carobdoor.internal.catalogue.CatalogueEntry;
 import org.carobdoor.internal.catalogue.EntryKind;
@@ -21,6 +22,7 @@
     private final CatalogueView catalogue;
     private final InstantSource clock;
     private final Duration timeout;
+    private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicBoolean draining = new AtomicBoolean();
 
     /**
@@ -54,15 +56,35 @@
         return authenticator.caller(ctx);
     }
 
-    /** Refuses the request if the node is stopping. */
-    void checkAcceptingWork() {
+    /** Returns the number of requests that are being served. */
+    public int inFlight() {
+        return inFlight.get();
+    }
+
+    /**
+     * Counts a request as in flight until the result is closed.
+     *
+     * @throws ProblemException if the node is stopping
+     */
+    InFlight begin() {
+        // Counted before the check, so that a drain cannot miss a request that passes it.
+        inFlight.incrementAndGet();
         if (draining.get()) {
+            inFlight.decrementAndGet();
             throw new ProblemException(
                     Problem.notRun(
                             SERVICE_UNAVAILABLE,
                             "node-stopping",
                             "this node is stopping; send the request again, to another node"));
         }
+        return inFlight::decrementAndGet;
+    }
+
+    /** A request that is being served. */
+    @FunctionalInterface
+    interface InFlight extends AutoCloseable {
+        @Override
+        void close();
     }
 
     /** Returns the entry of kind model that the caller may use under the name {@code model}. */
--- a/node/src/main/java/org/carobdoor/node/http/ModelRoutes.java
+++ b/node/src/main/java/org/carobdoor/node/http/ModelRoutes.java
@@ -56,9 +56,14 @@
     }
 
     private Context complete(Context ctx, boolean chat) {
-        Instant start = clock.instant();
         ClientAccount account = guard.authenticate(ctx);
-        guard.checkAcceptingWork();
+        try (CallerGuard.InFlight request = guard.begin()) {
+            return complete(ctx, chat, account);
+        }
+    }
+
+    private Context complete(Context ctx, boolean chat, ClientAccount account) {
+        Instant start = clock.instant();
         Instant deadline = guard.deadline(ctx);
         ModelRequest request = parse(ctx, chat, account);
         CatalogueEntry entry = guard.modelEntry(request.entry(), account);
--- a/node/src/main/java/org/carobdoor/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/carobdoor/node/metrics/NodeMetrics.java
@@ -41,6 +41,14 @@
     private final Histogram answer =
             histogram("carobdoor_service_answer_seconds", "Time of calls of plain services");
 
+    private final Histogram claim =
+            Histogram.builder()
+                    .name("carobdoor_claim_seconds")
+                    .help("Time that claiming a call takes")
+                    .classicOnly()
+                    .classicUpperBounds(SECONDS)
+                    .register(registry);
+
     private NodeMetrics() {
         JvmMemoryMetrics.builder().register(registry);
     }
@@ -90,6 +98,11 @@
         answer.labelValues(entry).observe(seconds);
     }
 
+    /** Records the time that claiming a call took, in seconds. */
+    public void claimTime(double seconds) {
+        claim.observe(seconds);
+    }
+
     /** Registers a gauge whose value is read at each scrape. */
     public void gauge(String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/service/ClaimPermit.java
@@ -0,0 +1,18 @@
+package org.carobdoor.node.service;
+
+import org.carobdoor.internal.claims.Id128;
+import org.carobdoor.node.claims.ClaimService;
+
+/** Permits sends of a call that is claimed by this node. */
+record ClaimPermit(ClaimService claims, Id128 token) implements SendPermit {
+
+    @Override
+    public boolean beginSend() {
+        return claims.beginSend(token);
+    }
+
+    @Override
+    public void notSent() {
+        claims.notSent(token);
+    }
+}
--- a/node/src/main/java/org/carobdoor/node/service/ServiceCalls.java
+++ b/node/src/main/java/org/carobdoor/node/service/ServiceCalls.java
@@ -23,7 +23,7 @@
  * was sent.
  *
  * <pre>{@code
- * switch (services.call(entry, request, false, deadline)) {
+ * switch (services.call(entry, request, true, SendPermit.ALWAYS, deadline)) {
  *     case CallOutcome.Answered(var answer) -> ...
  *     case CallOutcome.NotRun(var failure) -> ...
  *     case CallOutcome.Unknown(var failure) -> ...
@@ -42,9 +42,18 @@
         this.client = client;
     }
 
-    /** Calls a service for {@code entry} until {@code deadline}. */
+    /**
+     * Calls a service for {@code entry} until {@code deadline}.
+     *
+     * @param repeatable whether the call may be sent again after a send whose outcome is not known
+     * @param permit is asked immediately before each send
+     */
     public CallOutcome call(
-            CatalogueEntry entry, ServiceRequest request, boolean repeatable, Instant deadline) {
+            CatalogueEntry entry,
+            ServiceRequest request,
+            boolean repeatable,
+            SendPermit permit,
+            Instant deadline) {
         Set<EndpointId> avoid = new HashSet<>();
         Failure last = null;
         boolean sent = false;
@@ -58,6 +67,10 @@
                 if (!use.startSend()) {
                     continue;
                 }
+                if (!permit.beginSend()) {
+                    last = lapsed();
+                    break;
+                }
                 switch (client.call(use.endpoint(), request, deadline)) {
                     case Result.Ok<ServiceAnswer>(var answer) -> {
                         return new CallOutcome.Answered(answer);
@@ -65,7 +78,11 @@
                     case Result.Err<ServiceAnswer>(var failure) -> {
                         use.failed();
                         last = failure;
-                        sent |= failure.kind() != FailureKind.NOT_DONE;
+                        if (failure.kind() == FailureKind.NOT_DONE) {
+                            permit.notSent();
+                        } else {
+                            sent = true;
+                        }
                     }
                 }
             }
@@ -76,6 +93,11 @@
         return failed(entry, last, sent);
     }
 
+    private static Failure lapsed() {
+        return new Failure(
+                FailureKind.NOT_DONE, "service.permit", "local", "the deadline has passed");
+    }
+
     private static CallOutcome failed(CatalogueEntry entry, @Nullable Failure last, boolean sent) {
         Failure failure =
                 last != null
