--- /dev/null
+++ b/core/src/test/java/org/carobdoor/internal/limits/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of limits. */
+@NullMarked
+package org.carobdoor.internal.limits;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/limits/package-info.java
@@ -0,0 +1,5 @@
+/** Enforces the limits of catalogue entries over all nodes. */
+@NullMarked
+package org.carobdoor.node.limits;
+
+import org.jspecify.annotations.NullMarked;
