Add the service that runs accepted work

WorkService drives the state machines on virtual threads: it accepts streams and submitted requests, sends progress every 20 ms for each copy holder, takes over, hands over, and reads answers at any node. Calls that must not run twice take a claim just before they are sent. Decisions go to the key-value service as keys that are created once and never change.

Retired parts refuse to consent to anyone but their successor.

--- a/core/src/main/java/org/carobdoor/internal/work/OwnerMachine.java
+++ b/core/src/main/java/org/carobdoor/internal/work/OwnerMachine.java
@@ -228,7 +228,11 @@
         retryAt = Instant.MAX;
         return List.of(
                 new WorkOperation.Decide(
-                        request.id(), Epoch.term(epoch), view.self().id(), target));
+                        request.id(),
+                        Epoch.term(epoch),
+                        view.self().id(),
+                        target,
+                        request.deadline()));
     }
 
     /** Handles the stored decision of {@code term}; empty means that it could not be read. */
--- a/core/src/main/java/org/carobdoor/internal/work/WorkOperation.java
+++ b/core/src/main/java/org/carobdoor/internal/work/WorkOperation.java
@@ -1,5 +1,6 @@
 package org.carobdoor.internal.work;
 
+import java.time.Instant;
 import java.util.Optional;
 import org.carobdoor.NodeId;
 import org.carobdoor.RunState;
@@ -25,8 +26,9 @@
      * WorkTable#onDecision}.
      *
      * @param holder the copy holder of the next term, empty if no node can be reached
+     * @param until when the request is no longer of use
      */
-    record Decide(String requestId, int term, NodeId winner, Optional<NodeId> holder)
+    record Decide(String requestId, int term, NodeId winner, Optional<NodeId> holder, Instant until)
             implements WorkOperation {}
 
     /** Tell {@code to} to continue the request, by {@code WorkHandover}. */
--- a/core/src/test/java/org/carobdoor/internal/work/SimRequest.java
+++ b/core/src/test/java/org/carobdoor/internal/work/SimRequest.java
@@ -12,7 +12,7 @@
     final String id;
     final int length;
     final boolean submitted;
-    final List<Death> deaths = new ArrayList<>();
+    private final List<Death> deaths = new ArrayList<>();
     String published = "";
     String read = "";
     int readOffset;
@@ -59,12 +59,13 @@
 
     /** Checks that the answer is whole and belongs to this request. */
     void checkWhole() {
-        String[] tokens = published.split("(?<=>)");
-        checkInvariant(tokens.length == length, "tokens: " + tokens.length + " of " + length);
+        int from = 0;
         for (int i = 0; i < length; i++) {
             String prefix = "<" + id.substring(0, 6) + " " + i + " ";
-            checkInvariant(tokens[i].startsWith(prefix), "token " + i + " is " + tokens[i]);
+            checkInvariant(published.startsWith(prefix, from), "no token " + i + ": " + published);
+            from = published.indexOf('>', from) + 1;
         }
+        checkInvariant(from == published.length(), "more than " + length + " tokens");
     }
 
     void died(NodeId node, Part part, long at) {
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/work/KeyValueTakeoverGate.java
@@ -0,0 +1,67 @@
+package org.carobdoor.node.work;
+
+import java.time.Instant;
+import java.util.Optional;
+import org.carobdoor.Bytes;
+import org.carobdoor.FailureKind;
+import org.carobdoor.KeyValueStore;
+import org.carobdoor.NodeId;
+import org.carobdoor.Result;
+import org.carobdoor.VersionedValue;
+import org.carobdoor.internal.work.Decision;
+
+/**
+ * Keeps decisions in the platform's key-value service, one key each, which is created and never
+ * changed. The first line is the winner, the second its copy holder, the third the deadline.
+ */
+public final class KeyValueTakeoverGate implements TakeoverGate {
+    private static final String PREFIX = "work/terms/";
+    private static final int LINES = 3;
+
+    private final KeyValueStore store;
+
+    private KeyValueTakeoverGate(KeyValueStore store) {
+        this.store = store;
+    }
+
+    /** Returns a gate on {@code store}. */
+    public static KeyValueTakeoverGate create(KeyValueStore store) {
+        return new KeyValueTakeoverGate(store);
+    }
+
+    @Override
+    public Result<Decision> decide(
+            String requestId,
+            int term,
+            NodeId winner,
+            Optional<NodeId> holder,
+            Instant until,
+            Instant deadline) {
+        String key = PREFIX + requestId + "/" + term;
+        String text = winner + "\n" + holder.map(NodeId::value).orElse("") + "\n" + until;
+        return switch (store.compareAndSet(key, 0, Bytes.utf8(text), deadline)) {
+            case Result.Ok<Long> ok -> Result.ok(new Decision(winner, holder));
+            case Result.Err<Long>(var failure) when failure.kind() == FailureKind.NOT_DONE ->
+                    Result.err(failure);
+            // Whoever wrote it, the key never changes, so what is read is the decision. If it is
+            // absent, the write may still take effect; the caller tries the same one again.
+            case Result.Err<Long>(var failure) ->
+                    store.get(key, deadline)
+                            .flatMap(
+                                    value ->
+                                            value.flatMap(KeyValueTakeoverGate::parse)
+                                                    .map(Result::ok)
+                                                    .orElseGet(() -> Result.err(failure)));
+        };
+    }
+
+    private static Optional<Decision> parse(VersionedValue value) {
+        String[] lines = value.value().toUtf8().split("\n", -1);
+        if (lines.length != LINES || lines[0].isBlank()) {
+            return Optional.empty();
+        }
+        Optional<NodeId> holder =
+                lines[1].isBlank() ? Optional.empty() : Optional.of(new NodeId(lines[1]));
+        return Optional.of(new Decision(new NodeId(lines[0]), holder));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/work/WorkDriver.java
@@ -0,0 +1,246 @@
+package org.carobdoor.node.work;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import org.carobdoor.FailureKind;
+import org.carobdoor.NodeId;
+import org.carobdoor.Result;
+import org.carobdoor.internal.work.CopyOutcome;
+import org.carobdoor.internal.work.Decision;
+import org.carobdoor.internal.work.WorkOperation;
+import org.carobdoor.internal.work.WorkTable;
+import org.carobdoor.message.PeerMessage;
+import org.carobdoor.message.WorkAck;
+import org.carobdoor.message.WorkChunk;
+import org.carobdoor.message.WorkCopy;
+import org.carobdoor.message.WorkHandover;
+import org.carobdoor.message.WorkProgress;
+import org.carobdoor.message.WorkRead;
+
+/** Performs the operations of a {@link WorkTable} and passes their outcomes back. */
+final class WorkDriver implements AutoCloseable {
+    private static final Duration CALL_WITHIN = Duration.ofMillis(500);
+    private static final Duration DECIDE_WITHIN = Duration.ofSeconds(2);
+    private static final Duration PROGRESS_EVERY = Duration.ofMillis(20);
+    private static final Duration TICK_EVERY = Duration.ofMillis(200);
+
+    private final WorkPorts ports;
+    private final WorkTable table;
+    private final Waiters waiters;
+    private final AttemptRunner attempts;
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private final Map<String, CompletableFuture<WorkOperation>> accepting =
+            new ConcurrentHashMap<>();
+    private final Set<String> received = ConcurrentHashMap.newKeySet();
+    private final Set<NodeId> waiting = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
+
+    WorkDriver(WorkPorts ports, WorkTable table, Waiters waiters) {
+        this.ports = ports;
+        this.table = table;
+        this.waiters = waiters;
+        this.attempts = new AttemptRunner(ports, table, this::perform);
+    }
+
+    void start(WorkReader reader) {
+        var network = ports.network();
+        network.handle(WorkCopy.class, table::onCopy);
+        network.handle(WorkProgress.class, table::onProgress);
+        network.handle(WorkRead.class, reader::answer);
+        network.handle(
+                WorkAck.class,
+                (from, notice) -> {
+                    List<WorkOperation> operations = new ArrayList<>();
+                    WorkAck reply = table.onRelinquish(from, notice, operations);
+                    perform(operations);
+                    return reply;
+                });
+        network.handle(
+                WorkHandover.class,
+                (from, handover) -> {
+                    perform(table.onHandover(from, handover));
+                    return null;
+                });
+        ports.members().onChange(member -> perform(table.onMember(member)));
+        run(() -> loop(PROGRESS_EVERY, this::sendProgress));
+        run(() -> loop(TICK_EVERY, () -> perform(table.tick())));
+    }
+
+    private void loop(Duration interval, Runnable action) {
+        while (!closed) {
+            Instant next = ports.clock().instant().plus(interval);
+            action.run();
+            Pause.until(next, ports.clock());
+        }
+    }
+
+    private void run(Runnable task) {
+        try {
+            threads.execute(task);
+        } catch (RejectedExecutionException e) {
+            if (!closed) {
+                throw e;
+            }
+        }
+    }
+
+    AttemptRunner attempts() {
+        return attempts;
+    }
+
+    /** Starts to accept; the future gives {@code Accepted} or {@code Refused}. */
+    CompletableFuture<WorkOperation> expect(String id) {
+        var future = new CompletableFuture<WorkOperation>();
+        accepting.put(id, future);
+        received.add(id);
+        return future;
+    }
+
+    void perform(List<WorkOperation> operations) {
+        Map<NodeId, List<String>> handovers = new HashMap<>();
+        Map<NodeId, Map<String, Integer>> forgets = new HashMap<>();
+        for (WorkOperation operation : operations) {
+            if (operation instanceof WorkOperation.SendHandover(var id, var to)) {
+                // A call that is claimed here cannot be sent by the other node, so it ends here.
+                if (!attempts.isClaimed(id)) {
+                    handovers.computeIfAbsent(to, k -> new ArrayList<>()).add(id);
+                }
+            } else if (operation instanceof WorkOperation.Forget(var id, var peer, var epoch)) {
+                forgets.computeIfAbsent(peer, k -> new HashMap<>()).put(id, epoch);
+            } else {
+                perform(operation);
+            }
+        }
+        handovers.forEach((to, ids) -> send(to, new WorkHandover(ids)));
+        forgets.forEach((to, epochs) -> send(to, new WorkAck(Map.of(), epochs)));
+    }
+
+    private void send(NodeId to, PeerMessage message) {
+        ports.listener().onMessage(0);
+        ports.network().send(to, message);
+    }
+
+    private void perform(WorkOperation operation) {
+        switch (operation) {
+            case WorkOperation.SendCopy copy -> run(() -> copy(copy));
+            case WorkOperation.AskRelinquish ask -> run(() -> ask(ask));
+            case WorkOperation.Decide decide -> run(() -> decide(decide));
+            case WorkOperation.StartAttempt start ->
+                    run(() -> attempts.start(start, !received.contains(start.requestId())));
+            case WorkOperation.StopAttempt(var id, var attempt) -> attempts.stop(id);
+            case WorkOperation.Accepted accepted -> {
+                ports.listener().onAccepted(accepted.copy().isPresent(), accepted.sameZone());
+                settle(operation);
+            }
+            case WorkOperation.Refused(var id, var state) -> {
+                ports.listener().onRefused(state);
+                forget(id);
+                settle(operation);
+            }
+            case WorkOperation.Released(var id) -> waiters.signal(id);
+            case WorkOperation.Retired(var id, var successor) -> {
+                ports.listener().onSuperseded();
+                forget(id);
+            }
+            case WorkOperation.SendHandover sent -> throw new IllegalStateException("batched");
+            case WorkOperation.Forget sent -> throw new IllegalStateException("batched");
+        }
+    }
+
+    private void settle(WorkOperation outcome) {
+        CompletableFuture<WorkOperation> future = accepting.remove(outcome.requestId());
+        if (future != null) {
+            future.complete(outcome);
+        }
+    }
+
+    /** Drops what this driver keeps of a request. */
+    void forget(String id) {
+        attempts.stop(id);
+        received.remove(id);
+        waiters.signal(id);
+    }
+
+    private Result<PeerMessage> call(NodeId peer, PeerMessage message, int chunks) {
+        ports.listener().onMessage(chunks);
+        return ports.network().call(peer, message, ports.clock().instant().plus(CALL_WITHIN));
+    }
+
+    private void copy(WorkOperation.SendCopy sent) {
+        CopyOutcome outcome =
+                switch (call(sent.to(), sent.copy(), 0)) {
+                    case Result.Ok<PeerMessage>(WorkAck ack) -> CopyOutcome.of(sent.copy(), ack);
+                    case Result.Ok<PeerMessage> other -> new CopyOutcome.NotConfirmed();
+                    case Result.Err<PeerMessage>(var failure) ->
+                            failure.kind() == FailureKind.NOT_DONE
+                                    ? new CopyOutcome.NotSent()
+                                    : new CopyOutcome.NotConfirmed();
+                };
+        perform(table.onCopyOutcome(sent, outcome));
+    }
+
+    private void ask(WorkOperation.AskRelinquish ask) {
+        var notice = new WorkAck(Map.of(), Map.of(ask.requestId(), ask.epoch()));
+        boolean agreed =
+                call(ask.peer(), notice, 0) instanceof Result.Ok<PeerMessage>(WorkAck ack)
+                        && ack.epochs().containsKey(ask.requestId());
+        perform(table.onRelinquishOutcome(ask, agreed));
+    }
+
+    private void decide(WorkOperation.Decide ask) {
+        Instant deadline = ports.clock().instant().plus(DECIDE_WITHIN);
+        Result<Decision> stored =
+                ports.takeovers()
+                        .decide(
+                                ask.requestId(),
+                                ask.term(),
+                                ask.winner(),
+                                ask.holder(),
+                                ask.until(),
+                                deadline);
+        Optional<Decision> decision =
+                stored instanceof Result.Ok<Decision>(var value)
+                        ? Optional.of(value)
+                        : Optional.empty();
+        perform(table.onDecision(ask, decision));
+    }
+
+    private void sendProgress() {
+        table.collectProgress(holder -> !waiting.contains(holder))
+                .forEach(
+                        (holder, chunks) -> {
+                            waiting.add(holder);
+                            run(() -> sendProgress(holder, chunks));
+                        });
+    }
+
+    private void sendProgress(NodeId holder, List<WorkChunk> chunks) {
+        Result<PeerMessage> reply;
+        try {
+            reply = call(holder, new WorkProgress(chunks), chunks.size());
+        } finally {
+            waiting.remove(holder);
+        }
+        if (reply instanceof Result.Ok<PeerMessage>(WorkAck ack)) {
+            perform(table.onProgressAck(holder, chunks, ack));
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        attempts.close();
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/work/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Runs accepted work: connects the state machines of {@code org.carobdoor.internal.work} to peers,
+ * token sources and callers.
+ */
+@NullMarked
+package org.carobdoor.node.work;
+
+import org.jspecify.annotations.NullMarked;
