Run accepted work, admission, limits and burn accounting in the daemon

Cause: requests went straight to endpoints, without copies, limits or shedding. Change: model and service routes go through the request gate (admission by class, then limits) and the work service (copy before acceptance, takeover, reading at any node); submissions with 'Prefer: respond-async'; usage and burn. Accepted work is no longer failed when its entry's retry budget is used up: it pauses for 0.1 to 5 s and goes on, since a reclaim of a zone interrupts more streams at once than any budget allows.

--- a/core/src/main/java/org/carobdoor/internal/retries/GiveUpReason.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/GiveUpReason.java
@@ -11,5 +11,10 @@
     /** The request has had its last attempt. */
     ATTEMPTS,
     /** The entry has used up its retries. */
-    BUDGET
+    BUDGET;
+
+    /** Returns whether an attempt after a pause can succeed. */
+    public boolean isTemporary() {
+        return this == ATTEMPTS || this == BUDGET;
+    }
 }
--- a/core/src/main/java/org/carobdoor/internal/retries/RequestRetries.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RequestRetries.java
@@ -66,6 +66,11 @@
         return new RetryDecision.GiveUp(reason, maybeSent ? RunState.UNKNOWN : RunState.NOT_RUN);
     }
 
+    /** Records that the next attempt follows a pause, so that the count starts again. */
+    public void onPause() {
+        attempts = 1;
+    }
+
     /**
      * Records that the current attempt has made tokens. A stream that is interrupted after that is
      * continued, not repeated, so the count starts again; it stays bounded by the length of the
--- a/node/src/main/java/org/carobdoor/node/Node.java
+++ b/node/src/main/java/org/carobdoor/node/Node.java
@@ -10,6 +10,7 @@
 import org.carobdoor.NodeId;
 import org.carobdoor.Result;
 import org.carobdoor.internal.MonotonicInstantSource;
+import org.carobdoor.node.http.AcceptedRoutes;
 import org.carobdoor.node.http.AdminRoutes;
 import org.carobdoor.node.http.Authenticator;
 import org.carobdoor.node.http.CallerGuard;
@@ -134,16 +135,30 @@
             SecureRandom random) {
         ObjectMapper mapper = new ObjectMapper();
         new HealthRoutes(metrics, () -> notReady(cluster, guard)).install(app);
+        AcceptedRoutes accepted = new AcceptedRoutes(guard, serving.work(), clock);
+        accepted.install(app);
         new ModelRoutes(
                         guard,
                         new ModelRequestParser(mapper),
-                        serving.models(),
+                        serving.gate(),
+                        serving.work(),
+                        accepted,
+                        serving.codec(),
+                        serving.usage(),
                         metrics,
                         clock,
                         settings.requests().writeTimeout())
                 .install(app);
         new ServiceRoutes(
-                        guard, serving.services(), serving.once(), serving.claims(), metrics, clock)
+                        guard,
+                        serving.services(),
+                        serving.once(),
+                        serving.claims(),
+                        serving.gate(),
+                        accepted,
+                        serving.codec(),
+                        metrics,
+                        clock)
                 .install(app);
         new AdminRoutes(
                         authenticator,
@@ -158,7 +173,7 @@
                                         cluster.endpoints().images(),
                                         cluster.catalogue().all()),
                         () -> StatusReport.burn(cluster.self().id().value(), serving.burn()),
-                        () -> startDraining(cluster, guard),
+                        () -> startDraining(cluster, serving, guard),
                         clock)
                 .install(app);
         metrics.gauge("carobdoor_requests_in_flight", "Requests being served", guard::inFlight);
@@ -171,17 +186,18 @@
         return cluster.notReady();
     }
 
-    private static void startDraining(Cluster cluster, CallerGuard guard) {
+    private static void startDraining(Cluster cluster, Serving serving, CallerGuard guard) {
         if (!guard.isDraining()) {
             LOG.info("drain started, {} requests in flight", guard.inFlight());
         }
         guard.startDraining();
         cluster.leave();
+        serving.work().drain(false);
     }
 
     /** Refuses new work and waits until no request is in flight. */
     public void stopGracefully() {
-        startDraining(cluster, guard);
+        startDraining(cluster, serving, guard);
         Instant deadline = clock.instant().plus(settings.requests().timeout());
         while (guard.inFlight() > 0 && clock.instant().isBefore(deadline)) {
             try {
@@ -191,7 +207,11 @@
                 return;
             }
         }
-        LOG.info("drain ended, {} requests in flight", guard.inFlight());
+        boolean handedOver = serving.work().awaitDrained(deadline);
+        LOG.info(
+                "drain ended, {} requests in flight, accepted work {}",
+                guard.inFlight(),
+                handedOver ? "handed over" : "not handed over in time");
         metrics.event("drained", 1);
     }
 
--- a/node/src/main/java/org/carobdoor/node/Serving.java
+++ b/node/src/main/java/org/carobdoor/node/Serving.java
@@ -5,12 +5,17 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.carobdoor.internal.admission.Admission;
+import org.carobdoor.internal.admission.AdmissionSettings;
 import org.carobdoor.internal.burn.BurnAccount;
 import org.carobdoor.internal.burn.EntryBurn;
+import org.carobdoor.internal.catalogue.CatalogueEntry;
 import org.carobdoor.internal.claims.KeyPolicy;
 import org.carobdoor.internal.routing.AffinityRouter;
 import org.carobdoor.internal.routing.PrefixCacheModel;
 import org.carobdoor.internal.routing.RoutingWeights;
+import org.carobdoor.internal.routing.ViewLoads;
+import org.carobdoor.node.admission.RequestGate;
 import org.carobdoor.node.claims.ClaimService;
 import org.carobdoor.node.claims.ClaimSettings;
 import org.carobdoor.node.endpoint.EndpointChooser;
@@ -18,13 +23,21 @@
 import org.carobdoor.node.endpoint.EngineClient;
 import org.carobdoor.node.endpoint.RoutedChooser;
 import org.carobdoor.node.endpoint.ServiceClient;
+import org.carobdoor.node.execution.Executor;
+import org.carobdoor.node.execution.PayloadCodec;
+import org.carobdoor.node.execution.SubmittedClaims;
+import org.carobdoor.node.execution.UsageBook;
+import org.carobdoor.node.limits.LimitService;
 import org.carobdoor.node.metrics.ClaimMetrics;
 import org.carobdoor.node.metrics.NodeMetrics;
-import org.carobdoor.node.model.ModelCalls;
+import org.carobdoor.node.metrics.WorkMetrics;
 import org.carobdoor.node.service.OnceCalls;
 import org.carobdoor.node.service.ServiceCalls;
 import org.carobdoor.node.settings.NodeSettings;
 import org.carobdoor.node.settings.RequestSettings;
+import org.carobdoor.node.work.KeyValueTakeoverGate;
+import org.carobdoor.node.work.WorkPorts;
+import org.carobdoor.node.work.WorkService;
 
 /** What executes the requests of callers. */
 final class Serving implements AutoCloseable {
@@ -35,7 +48,11 @@
     private static final Duration KEY_SKEW = Duration.ofMinutes(5);
 
     private final EndpointHttp http;
-    private final ModelCalls models;
+    private final LimitService limits;
+    private final RequestGate gate;
+    private final WorkService work;
+    private final PayloadCodec codec = new PayloadCodec(new ObjectMapper());
+    private final UsageBook usage = new UsageBook();
     private final ServiceCalls services;
     private final ClaimService claims;
     private final OnceCalls once;
@@ -55,9 +72,9 @@
         AffinityRouter router =
                 AffinityRouter.create(
                         cluster.endpoints(), cache, RoutingWeights.defaults(), clock, random);
-        EndpointChooser chooser = new RoutedChooser(cluster.endpoints(), router, settings.zone());
+        EndpointChooser chooser =
+                new RoutedChooser(cluster.endpoints(), router, settings.zone(), clock);
         EngineClient engines = new EngineClient(http, new ObjectMapper(), clock);
-        this.models = new ModelCalls(chooser, engines, metrics::recomputed);
         this.services = new ServiceCalls(chooser, new ServiceClient(http, clock, MAX_ANSWER_BYTES));
         this.claims =
                 ClaimService.start(
@@ -69,6 +86,39 @@
                         random,
                         new ClaimMetrics(metrics));
         this.once = new OnceCalls(claims, services);
+        this.limits =
+                LimitService.start(
+                        cluster.network(),
+                        cluster.view(),
+                        clock,
+                        entry -> cluster.catalogue().find(entry).map(CatalogueEntry::limits));
+        this.gate =
+                new RequestGate(
+                        Admission.create(AdmissionSettings.defaults(), clock),
+                        ViewLoads.create(cluster.endpoints(), clock),
+                        limits,
+                        burn,
+                        metrics,
+                        clock);
+        SubmittedClaims submitted = new SubmittedClaims(claims, cluster.catalogue(), codec);
+        this.work =
+                WorkService.start(
+                        new WorkPorts(
+                                cluster.network(),
+                                cluster.view(),
+                                new Executor(
+                                        cluster.catalogue(),
+                                        chooser,
+                                        engines,
+                                        services,
+                                        submitted,
+                                        codec,
+                                        usage),
+                                KeyValueTakeoverGate.create(cluster.store()),
+                                submitted,
+                                new WorkMetrics(metrics),
+                                clock,
+                                random));
     }
 
     private static ClaimSettings claimSettings(RequestSettings requests) {
@@ -91,8 +141,20 @@
         return new Serving(settings, cluster, metrics, clock, random);
     }
 
-    ModelCalls models() {
-        return models;
+    RequestGate gate() {
+        return gate;
+    }
+
+    WorkService work() {
+        return work;
+    }
+
+    PayloadCodec codec() {
+        return codec;
+    }
+
+    UsageBook usage() {
+        return usage;
     }
 
     ServiceCalls services() {
@@ -113,6 +175,8 @@
 
     @Override
     public void close() {
+        work.close();
+        limits.close();
         claims.close();
         http.close();
     }
--- a/node/src/main/java/org/carobdoor/node/endpoint/EndpointUse.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointUse.java
@@ -26,6 +26,12 @@
     /** Records that the endpoint could not be reached or broke off. */
     void failed();
 
+    /**
+     * Returns the price of the machine time used so far, in the platform's currency. Requests that
+     * this node has at the endpoint at the same time share its price.
+     */
+    double cost();
+
     @Override
     void close();
 }
--- a/node/src/main/java/org/carobdoor/node/endpoint/RoutedChooser.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/RoutedChooser.java
@@ -1,5 +1,6 @@
 package org.carobdoor.node.endpoint;
 
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.Set;
 import org.carobdoor.AvailabilityZone;
@@ -20,9 +21,12 @@
     private final EndpointView view;
     private final Router router;
     private final AvailabilityZone zone;
+    private final InstantSource clock;
 
     /** Creates a chooser for a node in {@code zone}. */
-    public RoutedChooser(EndpointView view, Router router, AvailabilityZone zone) {
+    public RoutedChooser(
+            EndpointView view, Router router, AvailabilityZone zone, InstantSource clock) {
+        this.clock = clock;
         this.view = view;
         this.router = router;
         this.zone = zone;
@@ -41,7 +45,7 @@
             // An endpoint that failed once may still be the only one.
             reservation = router.route(request);
         }
-        return reservation.map(r -> new RoutedUse(view, r, modelOf(entry, r)));
+        return reservation.map(r -> new RoutedUse(view, r, modelOf(entry, r), clock));
     }
 
     private static String modelOf(CatalogueEntry entry, Reservation reservation) {
--- a/node/src/main/java/org/carobdoor/node/endpoint/RoutedUse.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/RoutedUse.java
@@ -1,18 +1,28 @@
 package org.carobdoor.node.endpoint;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import org.carobdoor.internal.endpoint.EndpointRecord;
+import org.carobdoor.internal.routing.EndpointImage;
 import org.carobdoor.internal.routing.EndpointView;
 import org.carobdoor.internal.routing.Refusal;
 import org.carobdoor.internal.routing.Reservation;
 
 /** A use of an endpoint that holds a reservation of the routing view. */
 final class RoutedUse implements EndpointUse {
+    private static final double MILLIS_PER_HOUR = 3_600_000;
+
     private final EndpointView view;
     private final Reservation reservation;
     private final EndpointRecord endpoint;
     private final String model;
+    private final InstantSource clock;
+    private final Instant start;
 
-    RoutedUse(EndpointView view, Reservation reservation, String model) {
+    RoutedUse(EndpointView view, Reservation reservation, String model, InstantSource clock) {
+        this.clock = clock;
+        this.start = clock.instant();
         this.view = view;
         this.reservation = reservation;
         this.endpoint = reservation.record();
@@ -49,6 +59,13 @@
         view.onRefusal(endpoint.id(), Refusal.UNREACHABLE);
     }
 
+    @Override
+    public double cost() {
+        double hours = Duration.between(start, clock.instant()).toMillis() / MILLIS_PER_HOUR;
+        int sharing = view.find(endpoint.id()).map(EndpointImage::ownRequests).orElse(1);
+        return endpoint.pricePerHour() * hours / Math.max(1, sharing);
+    }
+
     @Override
     public void close() {
         reservation.close();
--- a/node/src/main/java/org/carobdoor/node/endpoint/ServiceAnswer.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/ServiceAnswer.java
@@ -17,4 +17,13 @@
     public ServiceAnswer {
         headers = Map.copyOf(headers);
     }
+
+    /** Returns the media type of the body, empty if the endpoint named none. */
+    public String contentType() {
+        return headers.entrySet().stream()
+                .filter(e -> e.getKey().equalsIgnoreCase("content-type"))
+                .flatMap(e -> e.getValue().stream())
+                .findFirst()
+                .orElse("");
+    }
 }
--- a/node/src/main/java/org/carobdoor/node/http/ModelRoutes.java
+++ b/node/src/main/java/org/carobdoor/node/http/ModelRoutes.java
@@ -6,19 +6,24 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.UUID;
 import org.carobdoor.ClientAccount;
 import org.carobdoor.Failure;
 import org.carobdoor.Result;
 import org.carobdoor.RunState;
+import org.carobdoor.internal.burn.Cause;
 import org.carobdoor.internal.catalogue.CatalogueEntry;
-import org.carobdoor.node.endpoint.EngineEvent;
+import org.carobdoor.node.admission.RequestGate;
+import org.carobdoor.node.admission.RequestScope;
+import org.carobdoor.node.execution.PayloadCodec;
+import org.carobdoor.node.execution.UsageBook;
+import org.carobdoor.node.execution.WorkPayload;
 import org.carobdoor.node.metrics.NodeMetrics;
 import org.carobdoor.node.model.AnswerFormat;
-import org.carobdoor.node.model.ModelCalls;
 import org.carobdoor.node.model.ModelRequest;
 import org.carobdoor.node.model.ModelRequestParser;
-import org.carobdoor.node.model.ResumingStream;
+import org.carobdoor.node.work.AnswerPart;
+import org.carobdoor.node.work.WorkService;
+import org.carobdoor.node.work.WorkSpec;
 
 /** The OpenAI-compatible routes. */
 public final class ModelRoutes {
@@ -28,7 +33,11 @@
 
     private final CallerGuard guard;
     private final ModelRequestParser parser;
-    private final ModelCalls models;
+    private final RequestGate gate;
+    private final WorkService work;
+    private final AcceptedRoutes accepted;
+    private final PayloadCodec codec;
+    private final UsageBook usage;
     private final NodeMetrics metrics;
     private final InstantSource clock;
     private final Duration writeTimeout;
@@ -37,13 +46,21 @@
     public ModelRoutes(
             CallerGuard guard,
             ModelRequestParser parser,
-            ModelCalls models,
+            RequestGate gate,
+            WorkService work,
+            AcceptedRoutes accepted,
+            PayloadCodec codec,
+            UsageBook usage,
             NodeMetrics metrics,
             InstantSource clock,
             Duration writeTimeout) {
         this.guard = guard;
         this.parser = parser;
-        this.models = models;
+        this.gate = gate;
+        this.work = work;
+        this.accepted = accepted;
+        this.codec = codec;
+        this.usage = usage;
         this.metrics = metrics;
         this.clock = clock;
         this.writeTimeout = writeTimeout;
@@ -55,31 +72,23 @@
         app.post("/v1/completions", ctx -> complete(ctx, false));
     }
 
-    private Context complete(Context ctx, boolean chat) {
+    private Context complete(Context ctx, boolean chat) throws InterruptedException {
         ClientAccount account = guard.authenticate(ctx);
-        try (CallerGuard.InFlight request = guard.begin()) {
-            return complete(ctx, chat, account);
-        }
-    }
-
-    private Context complete(Context ctx, boolean chat, ClientAccount account) {
-        Instant start = clock.instant();
-        Instant deadline = guard.deadline(ctx);
-        ModelRequest request = parse(ctx, chat, account);
-        CatalogueEntry entry = guard.modelEntry(request.entry(), account);
-        String id = (chat ? "chatcmpl-" : "cmpl-") + UUID.randomUUID();
-        AnswerFormat format = new AnswerFormat(chat, id, entry.name(), start);
-        try (ResumingStream stream = models.open(entry, request, "", 0, deadline)) {
-            EngineEvent first = stream.next();
-            if (first instanceof EngineEvent.Broken b) {
-                throw failed(entry, b.failure());
-            }
-            double seconds = Duration.between(start, clock.instant()).toNanos() / 1e9;
-            metrics.firstToken(entry.name(), seconds);
-            if (request.body().path("stream").asBoolean()) {
-                stream(ctx, entry, request, format, stream, first);
-            } else {
-                answerWhole(ctx, entry, request, format, stream, first);
+        try (CallerGuard.InFlight inFlight = guard.begin()) {
+            Instant deadline = guard.deadline(ctx);
+            ModelRequest request = parse(ctx, chat, account);
+            CatalogueEntry entry = guard.modelEntry(request.entry(), account);
+            WorkSpec spec =
+                    new WorkSpec(
+                            entry.name(),
+                            codec.encode(new WorkPayload.Model(request)),
+                            true,
+                            deadline);
+            try (RequestScope scope = Gates.enter(gate, entry, deadline)) {
+                if (AcceptedRoutes.isSubmission(ctx)) {
+                    return accepted.submit(ctx, spec);
+                }
+                serve(ctx, entry, request, spec, scope);
             }
         }
         return ctx;
@@ -94,93 +103,73 @@
         };
     }
 
-    private void stream(
+    private void serve(
             Context ctx,
             CatalogueEntry entry,
             ModelRequest request,
-            AnswerFormat format,
-            ResumingStream stream,
-            EngineEvent first) {
-        try (EventStream out = new EventStream(ctx, writeTimeout)) {
-            if (request.chat()) {
-                out.send(format.roleChunk());
-            }
-            EngineEvent event = first;
-            int tokens = 0;
-            while (event instanceof EngineEvent.Tokens t) {
-                if (!out.send(format.chunk(t.text()))) {
-                    metrics.request(entry.name(), "caller_gone");
-                    return;
-                }
-                tokens += t.count();
-                metrics.tokens(entry.name(), t.count());
-                event = stream.next();
-            }
-            end(out, entry, request, format, event, tokens);
-        }
-    }
-
-    private void end(
-            EventStream out,
-            CatalogueEntry entry,
-            ModelRequest request,
-            AnswerFormat format,
-            EngineEvent event,
-            int tokens) {
-        if (event instanceof EngineEvent.Finished f) {
-            out.send(format.lastChunk(f.reason()));
-            if (request.body().path("stream_options").path("include_usage").asBoolean()) {
-                out.send(format.usageChunk(request.promptTokens(), tokens));
-            }
-            out.send("[DONE]");
-            metrics.request(entry.name(), RunState.RAN.label());
-        } else if (event instanceof EngineEvent.Broken b) {
-            // The response has started, so the problem is the last event of the stream.
-            out.send(problemOf(b.failure()).toJson().toString());
-            metrics.request(entry.name(), RunState.UNKNOWN.label());
+            WorkSpec spec,
+            RequestScope scope) {
+        boolean streamed = request.body().path("stream").asBoolean();
+        AnswerFormat.Header header =
+                new AnswerFormat.Header(request.chat(), entry.name(), clock.instant());
+        try (AnswerWriter writer =
+                streamed
+                        ? new StreamedAnswer(ctx, header, request, writeTimeout)
+                        : new WholeAnswer(header, request)) {
+            CallerSink sink = new CallerSink(writer, scope, usage);
+            Result<AnswerPart> last = work.stream(spec, sink);
+            sink.recordUsage();
+            finish(ctx, entry, writer, sink, last, spec.deadline(), scope);
         }
     }
 
-    private void answerWhole(
+    private void finish(
             Context ctx,
             CatalogueEntry entry,
-            ModelRequest request,
-            AnswerFormat format,
-            ResumingStream stream,
-            EngineEvent first) {
-        StringBuilder text = new StringBuilder();
-        int tokens = 0;
-        EngineEvent event = first;
-        while (event instanceof EngineEvent.Tokens t) {
-            text.append(t.text());
-            tokens += t.count();
-            event = stream.next();
+            AnswerWriter writer,
+            CallerSink sink,
+            Result<AnswerPart> last,
+            Instant deadline,
+            RequestScope scope) {
+        if (sink.isCallerGone()) {
+            metrics.request(entry.name(), "caller_gone");
+            return;
         }
-        if (event instanceof EngineEvent.Broken b) {
-            throw failed(entry, b.failure());
+        if (last instanceof Result.Ok<AnswerPart>(var part)
+                && part.state() == AnswerPart.State.DONE) {
+            metrics.request(entry.name(), RunState.RAN.label());
+            String whole = writer.finish();
+            if (!whole.isEmpty()) {
+                ctx.setResponseType("application/json");
+                ctx.send(whole.getBytes(StandardCharsets.UTF_8));
+            }
+            return;
         }
-        String reason = event instanceof EngineEvent.Finished f ? f.reason() : "stop";
-        metrics.tokens(entry.name(), tokens);
-        metrics.request(entry.name(), RunState.RAN.label());
-        ctx.setResponseType("application/json");
-        String json = format.whole(text.toString(), reason, request.promptTokens(), tokens);
-        ctx.send(json.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private ProblemException failed(CatalogueEntry entry, Failure failure) {
-        Problem problem = problemOf(failure);
+        boolean late = !clock.instant().isBefore(deadline);
+        scope.onFailure(late ? Cause.DEADLINE : Cause.ENGINE);
+        Problem problem = problemOf(last, sink);
         metrics.request(entry.name(), problem.runState().label());
-        return new ProblemException(problem);
+        if (!writer.fail(problem)) {
+            throw new ProblemException(problem);
+        }
     }
 
-    private static Problem problemOf(Failure failure) {
-        return switch (failure.kind()) {
-            case NOT_DONE -> Problem.notRun(SERVICE_UNAVAILABLE, "no-endpoint", failure.toString());
-            case REJECTED ->
+    private Problem problemOf(Result<AnswerPart> last, CallerSink sink) {
+        if (last instanceof Result.Err<AnswerPart>(Failure failure)) {
+            return sink.id().isEmpty()
+                    ? AcceptedRoutes.refusal(failure)
+                    : Problem.unknown(BAD_GATEWAY, "endpoint-failed", failure.toString());
+        }
+        String detail = "no endpoint completed the answer";
+        return switch (work.failedAs(sink.id())) {
+            case NOT_RUN -> Problem.notRun(SERVICE_UNAVAILABLE, "no-endpoint", detail);
+            case RAN ->
                     new Problem(
-                            BAD_REQUEST, "rejected-by-engine", failure.toString(), RunState.RAN);
-            case UNKNOWN, CONFLICT ->
-                    Problem.unknown(BAD_GATEWAY, "endpoint-failed", failure.toString());
+                            BAD_REQUEST,
+                            "rejected-by-engine",
+                            "the engine found the request invalid",
+                            RunState.RAN);
+            case UNKNOWN -> Problem.unknown(BAD_GATEWAY, "endpoint-failed", detail);
         };
     }
 }
--- a/node/src/main/java/org/carobdoor/node/http/ServiceRoutes.java
+++ b/node/src/main/java/org/carobdoor/node/http/ServiceRoutes.java
@@ -13,19 +13,26 @@
 import org.carobdoor.Failure;
 import org.carobdoor.Result;
 import org.carobdoor.RunState;
+import org.carobdoor.internal.burn.Cause;
 import org.carobdoor.internal.catalogue.CatalogueEntry;
+import org.carobdoor.node.admission.RequestGate;
+import org.carobdoor.node.admission.RequestScope;
 import org.carobdoor.node.claims.ClaimService;
 import org.carobdoor.node.claims.KeyOutcome;
 import org.carobdoor.node.claims.StoredAnswer;
 import org.carobdoor.node.endpoint.PassedHeaders;
 import org.carobdoor.node.endpoint.ServiceAnswer;
 import org.carobdoor.node.endpoint.ServiceRequest;
+import org.carobdoor.node.execution.PayloadCodec;
+import org.carobdoor.node.execution.ServiceWork;
+import org.carobdoor.node.execution.WorkPayload;
 import org.carobdoor.node.metrics.NodeMetrics;
 import org.carobdoor.node.service.CallOutcome;
 import org.carobdoor.node.service.OnceCalls;
 import org.carobdoor.node.service.OnceOutcome;
 import org.carobdoor.node.service.SendPermit;
 import org.carobdoor.node.service.ServiceCalls;
+import org.carobdoor.node.work.WorkSpec;
 
 /** The routes of plain services: {@code /services/<path prefix>/...}. */
 public final class ServiceRoutes {
@@ -43,6 +50,9 @@
     private final ServiceCalls services;
     private final OnceCalls once;
     private final ClaimService claims;
+    private final RequestGate gate;
+    private final AcceptedRoutes accepted;
+    private final PayloadCodec codec;
     private final NodeMetrics metrics;
     private final InstantSource clock;
 
@@ -52,8 +62,14 @@
             ServiceCalls services,
             OnceCalls once,
             ClaimService claims,
+            RequestGate gate,
+            AcceptedRoutes accepted,
+            PayloadCodec codec,
             NodeMetrics metrics,
             InstantSource clock) {
+        this.gate = gate;
+        this.accepted = accepted;
+        this.codec = codec;
         this.guard = guard;
         this.services = services;
         this.once = once;
@@ -84,17 +100,40 @@
         CatalogueEntry entry = guard.serviceEntry(path, account);
         ServiceRequest request = requestOf(ctx, path, account);
         boolean safe = List.of("GET", "HEAD").contains(ctx.getMethod());
-        if (entry.repeatable() || safe) {
-            answer(ctx, entry, services.call(entry, request, true, SendPermit.ALWAYS, deadline));
-        } else {
-            String key = keyOf(ctx, entry);
-            answerOnce(ctx, entry, once.call(account, entry, key, request, deadline));
+        boolean repeatable = entry.repeatable() || safe;
+        String key = repeatable ? "" : keyOf(ctx, entry);
+        try (RequestScope scope = Gates.enter(gate, entry, deadline)) {
+            if (AcceptedRoutes.isSubmission(ctx)) {
+                ServiceWork work = new ServiceWork(entry.name(), account, key, request);
+                Bytes payload = codec.encode(new WorkPayload.Service(work));
+                return accepted.submit(
+                        ctx, new WorkSpec(entry.name(), payload, repeatable, deadline));
+            }
+            serve(ctx, entry, account, key, request, deadline, scope);
         }
         double seconds = Duration.between(start, clock.instant()).toNanos() / 1e9;
         metrics.serviceAnswer(entry.name(), seconds);
         return ctx;
     }
 
+    private void serve(
+            Context ctx,
+            CatalogueEntry entry,
+            ClientAccount account,
+            String key,
+            ServiceRequest request,
+            Instant deadline,
+            RequestScope scope)
+            throws InterruptedException {
+        if (key.isEmpty()) {
+            CallOutcome outcome = services.call(entry, request, true, SendPermit.ALWAYS, deadline);
+            answer(ctx, entry, outcome, scope);
+        } else {
+            OnceOutcome outcome = once.call(account, entry, key, request, deadline);
+            answerOnce(ctx, entry, outcome, scope);
+        }
+    }
+
     private static String keyOf(Context ctx, CatalogueEntry entry) {
         String key = ctx.header(KEY_HEADER).valueOrNull();
         if (key == null) {
@@ -124,11 +163,13 @@
                 ctx.getMethod(), pathAndQuery, headers, Bytes.of(ctx.body().bytes()));
     }
 
-    private void answerOnce(Context ctx, CatalogueEntry entry, OnceOutcome outcome) {
+    private void answerOnce(
+            Context ctx, CatalogueEntry entry, OnceOutcome outcome, RequestScope scope) {
         switch (outcome) {
-            case OnceOutcome.Called(var called) -> answer(ctx, entry, called);
+            case OnceOutcome.Called(var called) -> answer(ctx, entry, called, scope);
             case OnceOutcome.Repeated(var status, var stored) -> {
                 metrics.request(entry.name(), "repeated");
+                scope.onTokens(1);
                 replay(ctx, status, stored.orElse(new StoredAnswer(status, "", Bytes.empty())));
             }
             case OnceOutcome.Held held ->
@@ -151,15 +192,18 @@
             case OnceOutcome.BadKey(var detail) ->
                     throw failed(
                             entry, Problem.notRun(BAD_REQUEST, "idempotency-key-invalid", detail));
-            case OnceOutcome.NotClaimed(var failure) ->
-                    throw failed(
-                            entry,
-                            Problem.notRun(
-                                    SERVICE_UNAVAILABLE, "claim-unavailable", failure.toString()));
+            case OnceOutcome.NotClaimed(var failure) -> {
+                scope.onFailure(Cause.ENGINE);
+                throw failed(
+                        entry,
+                        Problem.notRun(
+                                SERVICE_UNAVAILABLE, "claim-unavailable", failure.toString()));
+            }
         }
     }
 
-    private void answer(Context ctx, CatalogueEntry entry, CallOutcome outcome) {
+    private void answer(
+            Context ctx, CatalogueEntry entry, CallOutcome outcome, RequestScope scope) {
         switch (outcome) {
             case CallOutcome.Answered(var answer) -> {
                 metrics.request(entry.name(), RunState.RAN.label());
--- a/node/src/main/java/org/carobdoor/node/model/AnswerFormat.java
+++ b/node/src/main/java/org/carobdoor/node/model/AnswerFormat.java
@@ -11,12 +11,21 @@
     private final String model;
     private final long created;
 
+    /**
+     * What all chunks of an answer share.
+     *
+     * @param chat whether it answers a chat completion, else a text completion
+     * @param model the name of the catalogue entry
+     * @param created when the request arrived
+     */
+    public record Header(boolean chat, String model, Instant created) {}
+
     /** Creates the format of one answer with the id {@code id}. */
-    public AnswerFormat(boolean chat, String id, String model, Instant created) {
-        this.chat = chat;
+    public AnswerFormat(Header header, String id) {
+        this.chat = header.chat();
         this.id = id;
-        this.model = model;
-        this.created = created.getEpochSecond();
+        this.model = header.model();
+        this.created = header.created().getEpochSecond();
     }
 
     /** Returns the first chunk of a chat answer, which only names the role. */
--- a/node/src/main/java/org/carobdoor/node/service/OnceCalls.java
+++ b/node/src/main/java/org/carobdoor/node/service/OnceCalls.java
@@ -74,12 +74,6 @@
     }
 
     private static StoredAnswer stored(ServiceAnswer answer) {
-        String type =
-                answer.headers().entrySet().stream()
-                        .filter(e -> e.getKey().equalsIgnoreCase("content-type"))
-                        .flatMap(e -> e.getValue().stream())
-                        .findFirst()
-                        .orElse("");
-        return new StoredAnswer(answer.status(), type, answer.body());
+        return new StoredAnswer(answer.status(), answer.contentType(), answer.body());
     }
 }
--- a/node/src/main/java/org/carobdoor/node/work/AttemptRunner.java
+++ b/node/src/main/java/org/carobdoor/node/work/AttemptRunner.java
@@ -19,6 +19,8 @@
 final class AttemptRunner implements AutoCloseable {
     private static final Duration CLAIM_WITHIN = Duration.ofSeconds(2);
     private static final Duration CLAIM_RETRY = Duration.ofMillis(500);
+    private static final long FIRST_PAUSE_MILLIS = 200;
+    private static final long MAX_PAUSE_MILLIS = 5_000;
 
     private final WorkPorts ports;
     private final WorkTable table;
@@ -38,14 +40,19 @@
         final String id;
         final WorkSpec spec;
         final RequestRetries retries;
+        final boolean submitted;
+        volatile boolean progressed;
+        volatile int pauses;
         volatile boolean claimed;
         volatile boolean cancelled;
         volatile RunState failedAs = RunState.UNKNOWN;
         volatile TokenStream stream = () -> {};
 
-        Running(String id, WorkSpec spec) {
+        Running(String id, WorkSpec spec, boolean submitted, int offset) {
             this.id = id;
             this.spec = spec;
+            this.submitted = submitted;
+            this.progressed = offset > 0;
             RetryBudget budget =
                     budgets.computeIfAbsent(
                             spec.entry(), entry -> RetryBudget.create(ports.clock().instant()));
@@ -85,6 +92,27 @@
             return false;
         }
 
+        /** The caller has been told of the request: by its id, or by the first tokens. */
+        boolean isAccepted() {
+            return submitted || progressed;
+        }
+
+        /**
+         * Starts another attempt after a pause. Accepted work is not given up before its deadline:
+         * a reclaim of many endpoints at once uses up the retry budget, and the pauses, which grow,
+         * bound the load instead.
+         */
+        void restartLater(int attempt) {
+            long longest = Math.min(MAX_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(pauses, 10));
+            pauses++;
+            long millis = ports.random().nextLong(longest / 2, longest);
+            Pause.until(ports.clock().instant().plusMillis(millis), ports.clock());
+            retries.onPause();
+            if (!cancelled) {
+                perform.accept(table.restartAttempt(id, attempt));
+            }
+        }
+
         void fail(int attempt, RunState state, String reason) {
             failedAs = state;
             finishClaim(state);
@@ -116,6 +144,8 @@
                 return;
             }
             request.retries.onProgress();
+            request.progressed = true;
+            request.pauses = 0;
             perform.accept(table.onTokens(request.id, attempt, count, text, false));
         }
 
@@ -138,6 +168,9 @@
             switch (request.retries.onFailure(failure, ports.clock().instant())) {
                 case RetryDecision.Retry retry ->
                         perform.accept(table.restartAttempt(request.id, attempt));
+                case RetryDecision.GiveUp(var reason, var state)
+                        when request.isAccepted() && reason.isTemporary() ->
+                        request.restartLater(attempt);
                 case RetryDecision.GiveUp(var reason, var state) ->
                         request.fail(attempt, state, reason + ": " + failure.detail());
             }
@@ -154,7 +187,9 @@
                                         id,
                                         SpecCodec.decode(
                                                 start.request().payload(),
-                                                start.request().deadline())));
+                                                start.request().deadline()),
+                                        start.request().submitted(),
+                                        start.offset()));
         if (start.attempt() > 1) {
             ports.listener().onResume(start.offset());
         } else if (takenOver) {
