--- a/bench/src/main/java/org/carobdoor/bench/cluster/ChildProcess.java
+++ b/bench/src/main/java/org/carobdoor/bench/cluster/ChildProcess.java
@@ -35,7 +35,7 @@
         Process process =
                 new ProcessBuilder(command)
                         .redirectErrorStream(true)
-                        .redirectOutput(log.toFile())
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
                         .start();
         return new ChildProcess(name, process, log);
     }
--- a/node/src/main/java/org/carobdoor/node/Cluster.java
+++ b/node/src/main/java/org/carobdoor/node/Cluster.java
@@ -147,7 +147,8 @@
             UdpProbeTransport probes = UdpProbeTransport.open(group, settings.peer(), keys);
             return Result.ok(
                     new Cluster(settings, group, network, probes, metrics, clock, random, id));
-        } catch (RuntimeException e) {
+        } catch (Exception e) {
+            // Netty throws the checked BindException without declaring it.
             group.shutdownGracefully();
             return Result.err(
                     FailureKind.REJECTED,
--- a/node/src/main/java/org/carobdoor/node/execution/SubmittedClaims.java
+++ b/node/src/main/java/org/carobdoor/node/execution/SubmittedClaims.java
@@ -76,7 +76,7 @@
         switch (runState) {
             case NOT_RUN -> claims.release(token);
             case UNKNOWN -> claims.abandon(token);
-            case RAN -> claims.markDone(token, pointerTo(requestId));
+            default -> claims.markDone(token, pointerTo(requestId));
         }
     }
 
