Refuse connections once a stand-in is closed

Two tests of the platform clients failed under load: after close() a stand-in still accepted connections. Waiting for the port did not help. Now the listening channel, which a first request to the server itself reveals as the parent of its connection, is closed first.

An engine that is closed also hurried through its remaining tokens, since the interrupt ended every wait; it now breaks the stream off.

--- a/standins/src/main/java/org/carobdoor/standins/engine/Generation.java
+++ b/standins/src/main/java/org/carobdoor/standins/engine/Generation.java
@@ -81,7 +81,8 @@
             if (state.isSilent(call)) {
                 return staySilent();
             }
-            if (state.isDropped(call) || !connection.isOpen()) {
+            // An interrupt means that the engine is closed: it must not hurry to the end.
+            if (state.isDropped(call) || !connection.isOpen() || !isRunning()) {
                 return cancel();
             }
             answer.add(AnswerText.token(request.prompt(), request.resumeTokens() + i));
--- a/standins/src/main/java/org/carobdoor/standins/http/ClientConnection.java
+++ b/standins/src/main/java/org/carobdoor/standins/http/ClientConnection.java
@@ -42,6 +42,11 @@
         channel.close().awaitUninterruptibly();
     }
 
+    /** Returns the channel that accepted the connection. */
+    Channel listener() {
+        return channel.parent();
+    }
+
     private static Field channelContextField() {
         try {
             Field field = NettyContext.class.getDeclaredField("ctx");
--- a/standins/src/main/java/org/carobdoor/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/carobdoor/standins/http/StandInServer.java
@@ -7,13 +7,19 @@
 import io.jooby.ServerOptions;
 import io.jooby.StartupSummary;
 import io.jooby.netty.NettyServer;
+import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
@@ -29,14 +35,18 @@
 public final class StandInServer implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
     private static final int BIND_ATTEMPTS = 5;
+    private static final String PROBE_PATH = "/.stand-in";
+    private static final long PROBE_SECONDS = 10;
 
     private final NettyServer server;
     private final ExecutorService workers;
+    private final Channel listener;
     private final int port;
 
-    private StandInServer(NettyServer server, ExecutorService workers, int port) {
+    private StandInServer(NettyServer server, ExecutorService workers, Channel listener, int port) {
         this.server = server;
         this.workers = workers;
+        this.listener = listener;
         this.port = port;
     }
 
@@ -67,6 +77,13 @@
         app.setExecutionMode(ExecutionMode.WORKER);
         app.setWorker(workers);
         app.error((context, cause, status) -> sendError(context, cause, status.value()));
+        var listener = new CompletableFuture<Channel>();
+        app.get(
+                PROBE_PATH,
+                context -> {
+                    listener.complete(ClientConnection.of(context).listener());
+                    return context.send("");
+                });
         routes.accept(app);
         var options = new ServerOptions().setPort(port).setIoThreads(2).setWorkerThreads(1);
         options.setHost(HOST);
@@ -74,12 +91,13 @@
         server.setOptions(options);
         try {
             server.start(app);
+            Channel found = findListener(options.getPort(), listener);
+            return new StandInServer(server, workers, found, options.getPort());
         } catch (RuntimeException e) {
             workers.shutdownNow();
             server.stop();
             throw e;
         }
-        return new StandInServer(server, workers, options.getPort());
     }
 
     /** Adds a handler of GET requests. */
@@ -99,7 +117,7 @@
 
     /** Runs {@code handler} and sends its answer, unless the handler has sent one itself. */
     public static Object answer(Context context, JsonHandler handler) throws Exception {
-        Reply reply = handler.handle(context);
+        Reply reply = handle(context, handler);
         if (reply.isSent()) {
             return context;
         }
@@ -111,6 +129,16 @@
         return context.send(Json.bytes(reply.body()));
     }
 
+    // A server that is closed answers nothing more, like a process that has died.
+    private static Reply handle(Context context, JsonHandler handler) throws Exception {
+        try {
+            return handler.handle(context);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Reply.dropped();
+        }
+    }
+
     /** Returns a query parameter that is a whole number. */
     public static long number(Context context, String name, long whenMissing) {
         return context.query(name).longValue(whenMissing);
@@ -159,10 +187,26 @@
         context.send(Json.bytes(Json.object().put("error", String.valueOf(cause.getMessage()))));
     }
 
-    /** Stops the server and interrupts the handlers that still run. */
+    /** Stops accepting connections, interrupts the handlers and stops the server. */
     @Override
     public void close() {
+        // Netty can leave the listening socket open when its event loops are stopped first.
+        listener.close().awaitUninterruptibly();
         workers.shutdownNow();
         server.stop();
     }
+
+    // Jooby does not show the listening channel, but a connection knows it as its parent.
+    private static Channel findListener(int port, CompletableFuture<Channel> seen) {
+        String request = "GET " + PROBE_PATH + " HTTP/1.1\r\nHost: " + HOST + "\r\n\r\n";
+        try (var socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return seen.get(PROBE_SECONDS, TimeUnit.SECONDS);
+        } catch (IOException | ExecutionException | TimeoutException e) {
+            throw new IllegalStateException("the new server does not answer", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
 }
--- a/standins/src/test/java/org/carobdoor/standins/engine/EngineStandInTest.java
+++ b/standins/src/test/java/org/carobdoor/standins/engine/EngineStandInTest.java
@@ -9,6 +9,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.carobdoor.standins.TestHttp;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -111,6 +113,25 @@
         assertThat(open.isAlive()).isTrue();
     }
 
+    @Test
+    void engineThatIsClosedBreaksItsStreamsOff() throws Exception {
+        engine.changeFaults(TestHttp.json("{'tokenMillis': 60000}"));
+        var broken = new CompletableFuture<Boolean>();
+        Thread.startVirtualThread(
+                () -> {
+                    try {
+                        String body = post("'stream':true,'max_tokens':3000").body();
+                        broken.complete(!body.contains("[DONE]"));
+                    } catch (Exception e) {
+                        broken.complete(true);
+                    }
+                });
+        waitForState("running");
+        engine.close();
+        assertThat(broken.get(10, TimeUnit.SECONDS)).isTrue();
+        assertThat(engine.ledger().at("/requests/0/generatedTokens").asInt()).isEqualTo(0);
+    }
+
     @Test
     void ordersWithAnOldFencingNumberAreRefusedUnlessIgnored() throws Exception {
         assertThat(order(7, "load_model").status()).isEqualTo(200);
