Tune routing weights and admission shares from the experiments

Class 1 gets a share of 4, since above the capacity only class 1 is admitted and engines run it first.

The rate check of FleetPlannerTest makes one assertion a seed with the same bound.

--- a/core/src/main/java/org/carobdoor/internal/admission/AdmissionSettings.java
+++ b/core/src/main/java/org/carobdoor/internal/admission/AdmissionSettings.java
@@ -37,8 +37,10 @@
 
     /** Returns the settings that are in force unless an operator changes them. */
     public static AdmissionSettings defaults() {
-        // Class 1 may exceed the capacity, because engines run it before all other classes.
+        // Engines run class 1 before all others, and above the capacity only class 1 is admitted,
+        // so it is shed only when it overloads the endpoints by itself. The high start avoids
+        // shedding before anything is measured; the capacity falls by a tenth a second.
         return new AdmissionSettings(
-                List.of(1.3, 1.0, 0.85, 0.7), 8_000, 1_000, Duration.ofSeconds(1), 10, 0.9, 1.02);
+                List.of(4.0, 1.0, 0.8, 0.6), 20_000, 1_000, Duration.ofSeconds(1), 10, 0.9, 1.02);
     }
 }
--- a/core/src/main/java/org/carobdoor/internal/routing/RoutingWeights.java
+++ b/core/src/main/java/org/carobdoor/internal/routing/RoutingWeights.java
@@ -22,6 +22,6 @@
 
     /** Returns the weights that the measurements in {@code docs/measurements/policy.md} support. */
     public static RoutingWeights defaults() {
-        return new RoutingWeights(1.25, 600, 0.1, 2, 8);
+        return new RoutingWeights(1.25, 600, 0.2, 2, 8);
     }
 }
--- a/core/src/test/java/org/carobdoor/internal/admission/AdmissionTest.java
+++ b/core/src/test/java/org/carobdoor/internal/admission/AdmissionTest.java
@@ -44,11 +44,11 @@
 
     @Test
     void lowestClassIsShedFirst() {
-        load = 2 * 8_000 * 0.8;
+        load = 2 * 20_000 * 0.7;
         assertThat(List.of(admits(1), admits(2), admits(3), admits(4)))
                 .containsExactly(true, true, true, false)
                 .inOrder();
-        load = 2 * 8_000 * 1.2;
+        load = 2 * 20_000 * 1.2;
         assertThat(List.of(admits(1), admits(2))).containsExactly(true, false).inOrder();
     }
 
@@ -70,11 +70,11 @@
 
     @Test
     void missedObjectiveLowersCapacityAndMetOneRaisesIt() {
-        load = 2 * 6_000;
+        load = 2 * 15_000;
         serve(10, 2_500);
-        assertThat(admission.capacityPerEndpoint("model/m")).isWithin(1e-6).of(5_400);
+        assertThat(admission.capacityPerEndpoint("model/m")).isWithin(1e-6).of(13_500);
         serve(10, 900);
-        assertThat(admission.capacityPerEndpoint("model/m")).isWithin(1e-6).of(5_508);
+        assertThat(admission.capacityPerEndpoint("model/m")).isWithin(1e-6).of(13_770);
     }
 
     /** Any sequence of loads and outcomes: a shed class means that all lower ones are shed. */
@@ -83,7 +83,7 @@
         for (long seed = 1; seed <= 20; seed++) {
             var random = new SplittableRandom(seed);
             for (int i = 0; i < 1_000; i++) {
-                load = random.nextDouble(40_000);
+                load = random.nextDouble(200_000);
                 serve(1, random.nextInt(3_000));
                 for (int c = 1; c < 4; c++) {
                     assertWithMessage("seed %s step %s class %s", seed, i, c)
--- a/core/src/test/java/org/carobdoor/internal/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/carobdoor/internal/fleet/FleetPlannerTest.java
@@ -102,16 +102,14 @@
     }
 
     private static void assertRateIsBounded(long seed, List<Long> at) {
+        long worst = 0;
         for (int i = 0; i < at.size(); i++) {
             for (int j = i; j < at.size(); j++) {
-                long bound =
-                        SETTINGS.burst()
-                                + (at.get(j) - at.get(i)) / SETTINGS.orderInterval().toMillis();
-                assertWithMessage("seed %s orders %s to %s", seed, i, j)
-                        .that((long) (j - i + 1))
-                        .isAtMost(bound);
+                long intervals = (at.get(j) - at.get(i)) / SETTINGS.orderInterval().toMillis();
+                worst = Math.max(worst, j - i + 1 - intervals);
             }
         }
+        assertWithMessage("seed %s", seed).that(worst).isAtMost((long) SETTINGS.burst());
     }
 
     @Test
--- a/core/src/test/java/org/carobdoor/internal/routing/RouterTest.java
+++ b/core/src/test/java/org/carobdoor/internal/routing/RouterTest.java
@@ -25,12 +25,15 @@
                 view, cache, RoutingWeights.defaults(), clock, new SplittableRandom(1));
     }
 
+    /** The saving of the cache exceeds the price of the load that the first request leaves. */
     @Test
     void samePrefixReturnsToTheSameEndpoint() {
         Router router = affinity(clock.view(10));
-        EndpointId first = router.route(Endpoints.request(640, 1, 2, 3)).orElseThrow().id();
+        long[] hashes = LongStream.range(1, 22).toArray();
+        EndpointId first = router.route(Endpoints.request(1_408, hashes)).orElseThrow().id();
         for (int i = 0; i < 4; i++) {
-            var again = router.route(Endpoints.request(640, 1, 2, 3, 40 + i)).orElseThrow();
+            hashes[20] = 40L + i;
+            var again = router.route(Endpoints.request(1_408, hashes)).orElseThrow();
             assertThat(again.id()).isEqualTo(first);
             again.close();
         }
