--- a/core/src/main/java/org/carobdoor/internal/routing/DenseList.java
+++ b/core/src/main/java/org/carobdoor/internal/routing/DenseList.java
@@ -8,7 +8,12 @@
 
 /**
  * Values by key in a dense list. Adding, replacing and removing take constant time: a removal moves
- * the last element into the gap. The order of the elements is therefore arbitrary.
+ * the last element into the gap. The order of the elements is therefore arbitrary. Not thread-safe.
+ *
+ * <pre>{@code
+ * list.put(image.id(), image);
+ * EndpointImage any = list.at(random.nextInt(list.size()));
+ * }</pre>
  *
  * <p>Source: "Gödel Scheduler Performance Optimization: Algorithm Design Ideas and Data Structure
  * Applications".
@@ -16,12 +21,13 @@
  * @param <K> the type of the keys
  * @param <V> the type of the values
  */
-final class DenseList<K, V> {
+public final class DenseList<K, V> {
     private final List<K> keys = new ArrayList<>();
     private final List<V> values = new ArrayList<>();
     private final Map<K, Integer> index = new HashMap<>();
 
-    void put(K key, V value) {
+    /** Adds a value or replaces that of the same key. */
+    public void put(K key, V value) {
         Integer at = index.get(key);
         if (at != null) {
             values.set(at, value);
@@ -32,7 +38,8 @@
         }
     }
 
-    @Nullable V remove(K key) {
+    /** Removes the value of {@code key} and returns it, or null if there was none. */
+    public @Nullable V remove(K key) {
         Integer at = index.remove(key);
         if (at == null) {
             return null;
@@ -48,16 +55,19 @@
         return values.set(at, lastValue);
     }
 
-    @Nullable V get(K key) {
+    /** Returns the value of {@code key}, or null if there is none. */
+    public @Nullable V get(K key) {
         Integer at = index.get(key);
         return at == null ? null : values.get(at);
     }
 
-    V at(int i) {
+    /** Returns the value at a position, which a removal can change. */
+    public V at(int i) {
         return values.get(i);
     }
 
-    int size() {
+    /** Returns the number of values. */
+    public int size() {
         return values.size();
     }
 }
