Measure accepted work and shorten its acknowledgements

The number of chunks of an answer is bounded, since a source may push tokens without text. A leaving node finishes a call that it has claimed and then hands over its answer; before, a finished call that had been claimed was never handed over.

--- /dev/null
+++ b/bench/src/main/java/org/carobdoor/bench/work/package-info.java
@@ -0,0 +1,5 @@
+/** Measures what accepted work costs: messages, bytes, processor time, memory and latency. */
+@NullMarked
+package org.carobdoor.bench.work;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/carobdoor/internal/work/AnswerBuffer.java
+++ b/core/src/main/java/org/carobdoor/internal/work/AnswerBuffer.java
@@ -19,6 +19,9 @@
     /** Longest answer kept, in characters, so that one request cannot use up a node's memory. */
     static final int MAX_CHARS = 1 << 20;
 
+    /** Most chunks kept: eight bytes each, and a source may push tokens without text. */
+    static final int MAX_CHUNKS = 1 << 17;
+
     private static final int INITIAL_CHUNKS = 8;
 
     private final StringBuilder text = new StringBuilder();
@@ -53,7 +56,7 @@
     }
 
     boolean fits(String chunkText) {
-        return text.length() + chunkText.length() <= MAX_CHARS;
+        return text.length() + chunkText.length() <= MAX_CHARS && chunks < MAX_CHUNKS;
     }
 
     /** Returns the number of tokens. */
--- a/core/src/main/java/org/carobdoor/internal/work/OwnerAttempt.java
+++ b/core/src/main/java/org/carobdoor/internal/work/OwnerAttempt.java
@@ -39,7 +39,7 @@
         }
         if (!answer.fits(text)) {
             running = false;
-            failure = Optional.of("the answer is longer than " + AnswerBuffer.MAX_CHARS);
+            failure = Optional.of("the answer is longer than allowed");
             return true;
         }
         int before = answer.position();
--- a/core/src/main/java/org/carobdoor/internal/work/WorkTable.java
+++ b/core/src/main/java/org/carobdoor/internal/work/WorkTable.java
@@ -130,11 +130,19 @@
         return reply.build();
     }
 
-    /** Handles progress that a peer sends, and returns the acknowledgement. */
+    /**
+     * Handles progress that a peer sends, and returns the acknowledgement. An epoch is left out if
+     * it is that of the chunk, since it would double the size of the usual acknowledgement.
+     */
     public WorkAck onProgress(NodeId from, WorkProgress progress) {
         var reply = new AckBuilder();
         for (WorkChunk chunk : progress.chunks()) {
-            reply.add(chunk.requestId(), shard(chunk.requestId()).onChunk(from, chunk));
+            var ack = shard(chunk.requestId()).onChunk(from, chunk);
+            if (ack.epoch() == chunk.epoch() && ack.position().isPresent()) {
+                reply.addPosition(chunk.requestId(), ack.position().get());
+            } else {
+                reply.add(chunk.requestId(), ack);
+            }
         }
         return reply.build();
     }
@@ -180,16 +188,15 @@
     /** Handles the acknowledgement of the requests in {@code sent}. */
     public List<WorkOperation> onProgressAck(NodeId from, List<WorkChunk> sent, WorkAck ack) {
         List<WorkOperation> all = new ArrayList<>();
-        sent.stream()
-                .map(WorkChunk::requestId)
-                .distinct()
-                .forEach(id -> all.addAll(onProgressAck(from, id, ack)));
+        Map<String, Integer> sentEpochs = new HashMap<>();
+        sent.forEach(chunk -> sentEpochs.put(chunk.requestId(), chunk.epoch()));
+        sentEpochs.forEach((id, epoch) -> all.addAll(onProgressAck(from, id, epoch, ack)));
         return all;
     }
 
-    private List<WorkOperation> onProgressAck(NodeId from, String id, WorkAck ack) {
+    private List<WorkOperation> onProgressAck(NodeId from, String id, int sentEpoch, WorkAck ack) {
         Optional<Integer> position = Optional.ofNullable(ack.offsets().get(id));
-        int epoch = ack.epochs().getOrDefault(id, 0);
+        int epoch = ack.epochs().getOrDefault(id, sentEpoch);
         return shard(id)
                 .withOwner(
                         id,
@@ -253,6 +260,10 @@
         private final Map<String, Integer> offsets = new HashMap<>();
         private final Map<String, Integer> epochs = new HashMap<>();
 
+        void addPosition(String id, int position) {
+            offsets.put(id, position);
+        }
+
         void add(String id, int epoch) {
             epochs.put(id, epoch);
         }
--- a/node/src/main/java/org/carobdoor/node/work/AttemptRunner.java
+++ b/node/src/main/java/org/carobdoor/node/work/AttemptRunner.java
@@ -12,6 +12,7 @@
 import org.carobdoor.internal.retries.RequestRetries;
 import org.carobdoor.internal.retries.RetryBudget;
 import org.carobdoor.internal.retries.RetryDecision;
+import org.carobdoor.internal.work.ReadResult;
 import org.carobdoor.internal.work.WorkOperation;
 import org.carobdoor.internal.work.WorkTable;
 
@@ -39,6 +40,7 @@
         final WorkSpec spec;
         final RequestRetries retries;
         volatile boolean claimed;
+        volatile boolean ended;
         volatile boolean cancelled;
         volatile RunState failedAs = RunState.UNKNOWN;
         volatile TokenStream stream = () -> {};
@@ -93,6 +95,7 @@
         }
 
         void finishClaim(RunState state) {
+            ended = true;
             if (claimed) {
                 ports.claims().finished(id, spec, state);
             }
@@ -161,6 +164,10 @@
             ports.listener().onTakeover(start.offset());
         }
         request.open(start);
+        if (!(table.read(start.requestId(), 0) instanceof ReadResult.Owned)) {
+            // The request was given up or closed while the stream was being opened.
+            stop(start.requestId());
+        }
     }
 
     void stop(String id) {
@@ -171,9 +178,9 @@
         }
     }
 
-    /** Returns whether the call has been claimed here, so that no other node can send it. */
-    boolean isClaimed(String id) {
-        return Optional.ofNullable(running.get(id)).map(r -> r.claimed).orElse(false);
+    /** Returns whether a call that was claimed here is under way: no other node can send it. */
+    boolean isClaimInFlight(String id) {
+        return Optional.ofNullable(running.get(id)).map(r -> r.claimed && !r.ended).orElse(false);
     }
 
     /** Returns what is known about the execution of a request that has failed here. */
--- a/node/src/main/java/org/carobdoor/node/work/WorkDriver.java
+++ b/node/src/main/java/org/carobdoor/node/work/WorkDriver.java
@@ -112,8 +112,9 @@
         Map<NodeId, Map<String, Integer>> forgets = new HashMap<>();
         for (WorkOperation operation : operations) {
             if (operation instanceof WorkOperation.SendHandover(var id, var to)) {
-                // A call that is claimed here cannot be sent by the other node, so it ends here.
-                if (!attempts.isClaimed(id)) {
+                // A call that is claimed here cannot be sent by the other node, so it finishes
+                // here.
+                if (!attempts.isClaimInFlight(id)) {
                     handovers.computeIfAbsent(to, k -> new ArrayList<>()).add(id);
                 }
             } else if (operation instanceof WorkOperation.Forget(var id, var peer, var epoch)) {
--- a/node/src/main/java/org/carobdoor/node/work/WorkPorts.java
+++ b/node/src/main/java/org/carobdoor/node/work/WorkPorts.java
@@ -8,7 +8,8 @@
 /**
  * What a {@link WorkService} needs from outside.
  *
- * @param random makes request ids, so it must be unpredictable
+ * @param random makes request ids, so it must be unpredictable, and safe for use by several
+ *     threads, as {@link java.security.SecureRandom} is
  */
 public record WorkPorts(
         PeerNetwork network,
--- a/node/src/test/java/org/carobdoor/node/work/TestNodes.java
+++ b/node/src/test/java/org/carobdoor/node/work/TestNodes.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.SplittableRandom;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -141,7 +141,7 @@
                         new Claims(id),
                         WorkListener.NONE,
                         clock,
-                        new SplittableRandom(id.hashCode()));
+                        new Random(id.hashCode()));
         services.put(id, WorkService.start(ports));
     }
 
--- a/node/src/test/java/org/carobdoor/node/work/WorkServiceTest.java
+++ b/node/src/test/java/org/carobdoor/node/work/WorkServiceTest.java
@@ -123,6 +123,21 @@
         }
     }
 
+    @Test
+    void claimedCallIsFinishedBeforeItsAnswerIsHandedOver() throws InterruptedException {
+        try (var nodes = new TestNodes(4)) {
+            nodes.tokenMillis = 300;
+            String id = nodes.service(0).submit(nodes.spec(1, false)).orElseThrow();
+            Thread.sleep(50);
+            nodes.service(0).drain(false);
+            var deadline = nodes.clock.instant().plusSeconds(5);
+            assertThat(nodes.service(0).awaitDrained(deadline)).isTrue();
+            nodes.kill(0);
+            assertThat(nodes.readAll(2, id)).isEqualTo(TestNodes.answer(1) + "done");
+            assertThat(nodes.opened.get()).isEqualTo(1);
+        }
+    }
+
     @Test
     void takeoverWaitsForOutageOfKeyValueServiceToEnd() throws InterruptedException {
         try (var nodes = new TestNodes(4)) {
