--- a/core/src/main/java/org/carobdoor/internal/membership/Membership.java
+++ b/core/src/main/java/org/carobdoor/internal/membership/Membership.java
@@ -165,6 +165,9 @@
         d.updates().forEach(r -> merge(r, now));
         Optional<MemberRecord> from = table.find(d.from().id());
         answer(d, from.orElse(d.from()), now);
+        if (d.memberDigest() == table.digest()) {
+            updates.countKnown(table.liveSize());
+        }
         if (from.isPresent() && from.get().status() != MemberStatus.DEAD) {
             compareDigests(d, from.get(), now);
         }
--- a/core/src/main/java/org/carobdoor/internal/membership/UpdateQueue.java
+++ b/core/src/main/java/org/carobdoor/internal/membership/UpdateQueue.java
@@ -47,6 +47,16 @@
         return taken;
     }
 
+    /**
+     * Counts all updates but suspicions as sent once more, because a peer turned out to have the
+     * same live members. Without this, the updates of a mass start kept going round for minutes.
+     */
+    void countKnown(int size) {
+        int limit = sendLimit(size);
+        pending.values()
+                .removeIf(p -> p.record.status() != MemberStatus.SUSPECT && ++p.sent >= limit);
+    }
+
     static int sendLimit(int size) {
         return SENDS_PER_DOUBLING
                 * (Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, size)));
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/replica/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Keeps the versioned replica of this node up to date: watches the key-value service, spreads
+ * changes to peers, and repairs differences.
+ */
+@NullMarked
+package org.carobdoor.node.replica;
+
+import org.jspecify.annotations.NullMarked;
