--- a/node/src/main/java/org/carobdoor/node/replica/CatalogueWatch.java
+++ b/node/src/main/java/org/carobdoor/node/replica/CatalogueWatch.java
@@ -111,7 +111,10 @@
                 list
                         ? bounded(end -> store.list(PREFIX, end), settings.retryInterval())
                         : bounded(end -> store.watch(PREFIX, revision, end), settings.watchWait());
-        report(r);
+        // A silent watch says nothing about the service: the read that follows it does.
+        if (list || r.isOk()) {
+            report(r);
+        }
         switch (r) {
             case Result.Ok<ValueList>(var values) -> {
                 int news = owner.found(values.values());
