--- a/bench/src/main/java/org/carobdoor/bench/experiment/DecisionTiming.java
+++ b/bench/src/main/java/org/carobdoor/bench/experiment/DecisionTiming.java
@@ -142,7 +142,7 @@
                 n,
                 "remove and add, swap with last and index",
                 i -> {
-                    EndpointId id = ids[(int) (i * 31 % n)];
+                    EndpointId id = ids[scattered(i, n)];
                     dense.remove(id);
                     dense.put(id, id);
                     return dense.size();
@@ -151,13 +151,18 @@
                 n,
                 "remove and add, scan and shift",
                 i -> {
-                    EndpointId id = ids[(int) (i * 31 % n)];
+                    EndpointId id = ids[scattered(i, n)];
                     scanned.remove(id);
                     scanned.add(id);
                     return scanned.size();
                 });
     }
 
+    /** Spreads positions, since a fixed stride would always find the oldest element first. */
+    private static int scattered(long i, int n) {
+        return (int) Math.floorMod((i * 0x9E3779B97F4A7C15L) >>> 20, (long) n);
+    }
+
     /** One operation; the result only keeps it from being removed. */
     private interface Operation {
         long run(long i);
