Keep a failed step from stalling accepted work

An exception in the progress loop would have ended it and stalled every stream of the node, and a source that threw left its request running for ever. The loops now log and go on, and the request fails as unknown or is tried again.

--- a/node/src/main/java/org/carobdoor/node/work/AttemptRunner.java
+++ b/node/src/main/java/org/carobdoor/node/work/AttemptRunner.java
@@ -66,10 +66,16 @@
                 return;
             }
             var request = new TokenRequest(id, spec, start.attempt(), start.text(), start.offset());
-            TokenStream opened = ports.tokens().open(request, new Sink(this, start.attempt()));
-            stream = opened;
-            if (cancelled) {
-                opened.close();
+            var sink = new Sink(this, start.attempt());
+            try {
+                TokenStream opened = ports.tokens().open(request, sink);
+                stream = opened;
+                if (cancelled) {
+                    opened.close();
+                }
+            } catch (RuntimeException e) {
+                // Nothing is known about how far the source came.
+                sink.failed(new AttemptFailure.MaybeSent(e.toString()));
             }
         }
 
--- a/node/src/main/java/org/carobdoor/node/work/WorkDriver.java
+++ b/node/src/main/java/org/carobdoor/node/work/WorkDriver.java
@@ -16,6 +16,7 @@
 import org.carobdoor.FailureKind;
 import org.carobdoor.NodeId;
 import org.carobdoor.Result;
+import org.carobdoor.internal.InvariantViolation;
 import org.carobdoor.internal.work.CopyOutcome;
 import org.carobdoor.internal.work.Decision;
 import org.carobdoor.internal.work.WorkOperation;
@@ -27,6 +28,8 @@
 import org.carobdoor.message.WorkHandover;
 import org.carobdoor.message.WorkProgress;
 import org.carobdoor.message.WorkRead;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Performs the operations of a {@link WorkTable} and passes their outcomes back. */
 final class WorkDriver implements AutoCloseable {
@@ -35,6 +38,8 @@
     private static final Duration PROGRESS_EVERY = Duration.ofMillis(20);
     private static final Duration TICK_EVERY = Duration.ofMillis(200);
 
+    private static final Logger LOG = LoggerFactory.getLogger(WorkDriver.class);
+
     private final WorkPorts ports;
     private final WorkTable table;
     private final Waiters waiters;
@@ -80,7 +85,12 @@
     private void loop(Duration interval, Runnable action) {
         while (!closed) {
             Instant next = ports.clock().instant().plus(interval);
-            action.run();
+            try {
+                action.run();
+            } catch (RuntimeException | InvariantViolation e) {
+                // Ending the loop would stall every other request of the node.
+                LOG.error("work.loop: a step failed and is tried again", e);
+            }
             Pause.until(next, ports.clock());
         }
     }
--- a/node/src/test/java/org/carobdoor/node/work/TestNodes.java
+++ b/node/src/test/java/org/carobdoor/node/work/TestNodes.java
@@ -43,6 +43,9 @@
         public TokenStream open(TokenRequest request, TokenSink sink) {
             opened.incrementAndGet();
             int length = Integer.parseInt(request.spec().payload().toUtf8());
+            if (length < 0) {
+                throw new IllegalStateException("the source is broken");
+            }
             int stop = request.attempt() == 1 ? failAfterTokens : Integer.MAX_VALUE;
             Thread thread =
                     Thread.startVirtualThread(
--- a/node/src/test/java/org/carobdoor/node/work/WorkServiceTest.java
+++ b/node/src/test/java/org/carobdoor/node/work/WorkServiceTest.java
@@ -138,6 +138,14 @@
         }
     }
 
+    @Test
+    void requestFailsIfItsSourceThrows() {
+        try (var nodes = new TestNodes(3)) {
+            var last = nodes.service(0).stream(nodes.spec(-1, false), new Caller()).orElseThrow();
+            assertThat(last.state()).isEqualTo(AnswerPart.State.FAILED);
+        }
+    }
+
     @Test
     void takeoverWaitsForOutageOfKeyValueServiceToEnd() throws InterruptedException {
         try (var nodes = new TestNodes(4)) {
