--- a/node/src/test/java/org/carobdoor/node/replica/TestCluster.java
+++ b/node/src/test/java/org/carobdoor/node/replica/TestCluster.java
@@ -23,13 +23,20 @@
 /** Nodes in several zones over real sockets on loopback, with one key-value store. */
 final class TestCluster implements AutoCloseable {
     final FakeKeyValueStore store = FakeKeyValueStore.create(1, InstantSource.system());
+    final int speed;
     final List<TestNode> nodes = new CopyOnWriteArrayList<>();
     private final EventLoopGroup group = TcpPeerNetwork.newEventLoops();
     private final Set<AvailabilityZone> cutZones = ConcurrentHashMap.newKeySet();
     private final Map<InetSocketAddress, AvailabilityZone> zones = new ConcurrentHashMap<>();
     private long version;
 
+    /** All times are a quarter of those in production, to keep the tests quick. */
     TestCluster(int size, int zoneCount) {
+        this(size, zoneCount, 4);
+    }
+
+    TestCluster(int size, int zoneCount, int speed) {
+        this.speed = speed;
         for (int i = 0; i < size; i++) {
             add("node-" + i, "zone-" + i % zoneCount);
         }
--- a/node/src/test/java/org/carobdoor/node/replica/TestNode.java
+++ b/node/src/test/java/org/carobdoor/node/replica/TestNode.java
@@ -34,8 +34,6 @@
 
 /** A node with real sockets on loopback, whose messages can be cut. */
 final class TestNode implements AutoCloseable {
-    static final int SPEED = 4;
-
     final NodeId id;
     final AvailabilityZone zone;
     final TestCluster cluster;
@@ -60,7 +58,7 @@
                 MembershipService.start(
                         MemberRecord.started(this.id, this.zone, tcp.address()),
                         cluster.seeds(),
-                        MembershipSettings.defaults().faster(SPEED),
+                        MembershipSettings.defaults().faster(cluster.speed),
                         new Probes(),
                         clock,
                         new Random(seed));
@@ -76,7 +74,7 @@
                         ReplicaService::entryItem,
                         new Network(),
                         membership,
-                        ReplicaServiceSettings.defaults().faster(SPEED),
+                        ReplicaServiceSettings.defaults().faster(cluster.speed),
                         clock,
                         new Random(seed));
     }
