--- a/core/src/main/java/org/carobdoor/internal/claims/Claimant.java
+++ b/core/src/main/java/org/carobdoor/internal/claims/Claimant.java
@@ -47,6 +47,12 @@
     /** An owner answers within its write interval and two operations, unless it is gone. */
     private static final Duration ASK_TIMEOUT = Duration.ofMillis(500);
 
+    /**
+     * Has to exceed the time for which an owner holds outcomes back, 0.5 s: otherwise every outcome
+     * is sent to a second owner as well, which then conflicts with the first.
+     */
+    private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(2);
+
     private static final Duration RETRY_BASE = Duration.ofMillis(10);
 
     private static final Duration RETRY_MOST = Duration.ofSeconds(1);
@@ -112,11 +118,11 @@
         if (now.isBefore(notBefore)) {
             return new ClaimantStep.Pause(notBefore);
         }
-        Instant timeout = now.plus(ASK_TIMEOUT);
         if (phase == Phase.REPORTING) {
-            return new ClaimantStep.Ask(candidate, update(), timeout);
+            return new ClaimantStep.Ask(candidate, update(), now.plus(REPORT_TIMEOUT));
         }
         asked = true;
+        Instant timeout = now.plus(ASK_TIMEOUT);
         Instant end = request.deadline();
         return new ClaimantStep.Ask(candidate, request, timeout.isBefore(end) ? timeout : end);
     }
@@ -138,7 +144,7 @@
     private void onAnswer(ClaimReply reply) {
         switch (reply.outcome()) {
             case GRANTED -> onGranted(reply);
-            case HELD -> close(new ClaimVerdict.Held(reply.holder()));
+            case HELD -> onHeld(reply);
             case DONE -> close(new ClaimVerdict.Done(reply.status(), reply.holder()));
             case TOO_OLD -> close(new ClaimVerdict.TooOld());
             case RELEASED -> giveUp("the claim was released");
@@ -156,6 +162,15 @@
         }
     }
 
+    /** An earlier message that got no reply may have been granted the claim in the meantime. */
+    private void onHeld(ClaimReply reply) {
+        boolean askedBefore = candidate > 0;
+        close(new ClaimVerdict.Held(reply.holder()));
+        if (askedBefore) {
+            report(0);
+        }
+    }
+
     private void onGranted(ClaimReply reply) {
         Preconditions.checkInvariant(
                 reply.token().equals(request.token()), "a grant for another token");
