Hand over taken-over streams in a drain

It had taken over streams of a killed daemon; nobody reads such a stream to its end here, and a drain left streams to finish, so it waited for their deadline of 10 minutes. A copy whose owner's notice of the end was lost held up the drain in the same way. Change: a drain hands over everything without a caller at this node; copies that remain 10 s after that do not keep the daemon. Tests: takenOverStreamDoesNotHoldUpDrain, submittedWorkOutlastsTheRetryBudget.

--- a/core/src/main/java/org/carobdoor/internal/work/OwnerMachine.java
+++ b/core/src/main/java/org/carobdoor/internal/work/OwnerMachine.java
@@ -407,6 +407,11 @@
         return view.find(peer).map(m -> m.state() != MemberState.DEAD).orElse(false);
     }
 
+    /** Returns whether a caller holds a stream open at this node. */
+    boolean hasCallerHere() {
+        return !request.submitted() && formerOwner.isEmpty();
+    }
+
     /** Asks the copy holder to continue, now or as soon as there is one. */
     List<WorkOperation> handOver() {
         handover = true;
--- a/core/src/main/java/org/carobdoor/internal/work/WorkCounts.java
+++ b/core/src/main/java/org/carobdoor/internal/work/WorkCounts.java
@@ -4,7 +4,8 @@
  * What a node holds.
  *
  * @param streams owned requests whose caller holds a stream open
- * @param submitted owned requests whose caller reads the answer later
+ * @param submitted owned requests whose caller reads the answer later, or read it at a node that is
+ *     gone
  * @param held copies kept for other owners
  * @param uncopied owned requests without a copy
  * @param sameZone owned requests whose copy is in the zone of this node
@@ -21,8 +22,13 @@
                 sameZone + other.sameZone);
     }
 
+    /** Returns whether this node owns nothing any more. */
+    public boolean ownsNothing() {
+        return streams == 0 && submitted == 0;
+    }
+
     /** Returns whether a node that leaves may exit: nothing depends on it any more. */
     public boolean isDrained() {
-        return streams == 0 && submitted == 0 && held == 0;
+        return ownsNothing() && held == 0;
     }
 }
--- a/core/src/main/java/org/carobdoor/internal/work/WorkShard.java
+++ b/core/src/main/java/org/carobdoor/internal/work/WorkShard.java
@@ -334,8 +334,7 @@
         return forEach(
                 now,
                 (id, part) ->
-                        part instanceof OwnerMachine owner
-                                        && (streams || owner.request().submitted())
+                        part instanceof OwnerMachine owner && (streams || !owner.hasCallerHere())
                                 ? owner.handOver()
                                 : List.of());
     }
@@ -372,8 +371,8 @@
         return switch (part) {
             case OwnerMachine owner ->
                     new WorkCounts(
-                            owner.request().submitted() ? 0 : 1,
-                            owner.request().submitted() ? 1 : 0,
+                            owner.hasCallerHere() ? 1 : 0,
+                            owner.hasCallerHere() ? 0 : 1,
                             0,
                             owner.settledWithoutCopy() ? 1 : 0,
                             owner.copiedInZone() ? 1 : 0);
--- a/node/src/main/java/org/carobdoor/node/work/WorkService.java
+++ b/node/src/main/java/org/carobdoor/node/work/WorkService.java
@@ -31,6 +31,9 @@
     private static final Duration READ_WITHIN = Duration.ofSeconds(1);
     private static final Duration DRAIN_POLL = Duration.ofMillis(50);
 
+    /** Several times what an owner needs to copy a request to another holder. */
+    private static final Duration HELD_WITHIN = Duration.ofSeconds(10);
+
     /** Longer than the state machine takes to refuse, so that its verdict is the one given. */
     private static final Duration ACCEPT_WITHIN =
             WorkTimes.defaults().acceptWithin().plusSeconds(3);
@@ -172,13 +175,24 @@
         driver.perform(table.handOver(streams));
     }
 
-    /** Waits until nothing depends on this node any more; returns whether that came about. */
+    /**
+     * Waits until nothing depends on this node any more; returns whether that came about.
+     *
+     * <p>Copies that remain after {@link #HELD_WITHIN} are of requests that have ended, whose owner
+     * could not tell; an owner that still runs has found another copy holder by then.
+     */
     public boolean awaitDrained(Instant deadline) {
+        Instant heldUntil = deadline;
         while (!table.counts().isDrained()) {
             Instant now = ports.clock().instant();
             if (!now.isBefore(deadline) || Thread.currentThread().isInterrupted()) {
                 return false;
             }
+            if (!table.counts().ownsNothing() || heldUntil.equals(deadline)) {
+                heldUntil = now.plus(HELD_WITHIN);
+            } else if (!now.isBefore(heldUntil)) {
+                return true;
+            }
             Pause.until(now.plus(DRAIN_POLL), ports.clock());
         }
         return true;
--- a/node/src/test/java/org/carobdoor/node/work/TestNodes.java
+++ b/node/src/test/java/org/carobdoor/node/work/TestNodes.java
@@ -36,12 +36,16 @@
     final AtomicInteger opened = new AtomicInteger();
     volatile int failAfterTokens = Integer.MAX_VALUE;
     volatile int tokenMillis = 5;
+    volatile int failFirstAttempts;
 
     /** Answers with tokens {@code 0 1 2 ...}, as many as the payload says. */
     private final class Source implements TokenSource {
         @Override
         public TokenStream open(TokenRequest request, TokenSink sink) {
-            opened.incrementAndGet();
+            if (opened.incrementAndGet() <= failFirstAttempts) {
+                sink.failed(new AttemptFailure.NotSent("refused"));
+                return () -> {};
+            }
             int length = Integer.parseInt(request.spec().payload().toUtf8());
             if (length < 0) {
                 throw new IllegalStateException("the source is broken");
--- a/node/src/test/java/org/carobdoor/node/work/WorkServiceTest.java
+++ b/node/src/test/java/org/carobdoor/node/work/WorkServiceTest.java
@@ -87,6 +87,37 @@
         }
     }
 
+    /** Guards against a drain that waits for a caller who was connected to a node that has died. */
+    @Test
+    void takenOverStreamDoesNotHoldUpDrain() throws InterruptedException {
+        try (var nodes = new TestNodes(4)) {
+            nodes.tokenMillis = 20;
+            Thread.startVirtualThread(
+                    () -> nodes.service(0).stream(nodes.spec(40, true), new Caller()));
+            Thread.sleep(200);
+            int holder = 1;
+            while (nodes.service(holder).counts().held() == 0) {
+                holder++;
+            }
+            nodes.kill(0);
+            Thread.sleep(500);
+            nodes.setState(holder, MemberState.LEAVING);
+            nodes.service(holder).drain(false);
+            var deadline = nodes.clock.instant().plusSeconds(5);
+            assertThat(nodes.service(holder).awaitDrained(deadline)).isTrue();
+        }
+    }
+
+    /** Guards against accepted work that is given up when its entry has no retries left. */
+    @Test
+    void submittedWorkOutlastsTheRetryBudget() throws InterruptedException {
+        try (var nodes = new TestNodes(3)) {
+            nodes.failFirstAttempts = 8;
+            String id = nodes.service(0).submit(nodes.spec(5, true)).orElseThrow();
+            assertThat(nodes.readAll(1, id)).isEqualTo(TestNodes.answer(5) + "done");
+        }
+    }
+
     @Test
     void leavingNodeRefusesNewWorkAsNotRun() {
         try (var nodes = new TestNodes(3)) {
