Buy two cheap VMs instead of one that costs more than both

Cause: after the loss of a zone whose reclaimable starts are refused, the planner bought an on-demand VM there whenever the two other zones were equally large, at three times the price, although one VM in each of these does as much.

Change: SpreadPlan compares the price of the pair.

Seen to fail when taken out: twoCheapVmsAreTakenInsteadOfOneThatCostsMore.

--- a/core/src/main/java/org/carobdoor/internal/fleet/SpreadPlan.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/SpreadPlan.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.carobdoor.AvailabilityZone;
 
 /**
@@ -83,16 +84,40 @@
                         .thenComparing(Offer::machineClass);
         Optional<Offer> best =
                 available.stream().filter(o -> !mustBeOnDemand || !o.reclaimable()).min(order);
+        best = best.map(o -> mustBeOnDemand ? o : cheaperPair(o, available, largest));
+        boolean isPair = byZone.values().stream().filter(x -> x >= largest - 1e-6).count() > 1;
         boolean isOutsideLargest = best.isPresent() && sizeOf(best.get().zone()) < largest;
         // With all zones equal, a VM in any zone prepares the next step. With only the largest zone
         // on offer, more there would not survive its loss, and is added only if it is needed now.
         boolean isEven = byZone.values().stream().allMatch(x -> x >= largest - 1e-6);
         boolean isNeededNow = mustBeOnDemand || total < need.capacity();
-        return isOutsideLargest || isNeededNow || (isEven && zonesOf(available) > 1)
+        return isOutsideLargest || isNeededNow || ((isEven || isPair) && zonesOf(available) > 1)
                 ? best
                 : Optional.empty();
     }
 
+    /**
+     * With two zones at the largest size, one VM in each raises what is left as much as one VM
+     * elsewhere does. Returns the first of such a pair if both together cost less.
+     */
+    private Offer cheaperPair(Offer elsewhere, Collection<Offer> available, double largest) {
+        Map<AvailabilityZone, Offer> cheapest = new TreeMap<>();
+        for (Offer o : available) {
+            if (largest > 0 && sizeOf(o.zone()) >= largest - 1e-6) {
+                cheapest.merge(o.zone(), o, (a, b) -> a.unitPrice() <= b.unitPrice() ? a : b);
+            }
+        }
+        List<Offer> byPrice =
+                cheapest.values().stream()
+                        .sorted(Comparator.comparingDouble(Offer::unitPrice))
+                        .toList();
+        boolean isCheaper =
+                byPrice.size() > 1
+                        && byPrice.get(0).unitPrice() + byPrice.get(1).unitPrice()
+                                < elsewhere.unitPrice();
+        return isCheaper ? byPrice.getFirst() : elsewhere;
+    }
+
     private double sizeOf(AvailabilityZone zone) {
         return byZone.getOrDefault(zone, 0.0);
     }
--- a/core/src/test/java/org/carobdoor/internal/fleet/FleetPlannerTest.java
+++ b/core/src/test/java/org/carobdoor/internal/fleet/FleetPlannerTest.java
@@ -170,6 +170,17 @@
         assertThat(added.stream().filter(o -> !o.reclaimable())).hasSize(2);
     }
 
+    /** Zone a sells on demand only: one there at 3.0 does as much as one in b and c at 2.4. */
+    @Test
+    void twoCheapVmsAreTakenInsteadOfOneThatCostsMore() {
+        Offer b = FakeCloud.offer("b", true, 1.1);
+        Offer c = FakeCloud.offer("c", true, 1.3);
+        var plan = new SpreadPlan(List.of(b, c));
+        var offers = List.of(b, c, FakeCloud.offer("a", false, 3));
+        assertThat(plan.additions(new FleetNeed(200, 0), offers, 10)).containsExactly(b, c);
+        assertThat(plan.left()).isWithin(1e-9).of(200);
+    }
+
     @Test
     void excessIsReleasedDearestFirstAfterATime() {
         var random = new SplittableRandom(3);
