Send first tokens at once, share load reports, drain on the own reclaim notice

Cause: the first token waited up to 20 ms for the next batch of progress; peers' loads were never exchanged; a node did not act on the notice of its own VM; a caller that had gone before the response started caused an error trace.

--- a/node/src/main/java/org/carobdoor/node/Cluster.java
+++ b/node/src/main/java/org/carobdoor/node/Cluster.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.carobdoor.Bytes;
 import org.carobdoor.FailureKind;
@@ -43,6 +44,7 @@
 import org.carobdoor.wire.TcpPeerNetwork;
 import org.carobdoor.wire.TransportSettings;
 import org.carobdoor.wire.UdpProbeTransport;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -61,6 +63,9 @@
     private final EndpointRecordCodec records;
     private final CatalogueView catalogue = new CatalogueView();
     private final EndpointFeed feed;
+    private final LoadExchange loads;
+    private final String vmId;
+    private final AtomicReference<@Nullable Instant> ownReclaim = new AtomicReference<>();
 
     private Cluster(
             NodeSettings settings,
@@ -72,6 +77,7 @@
             RandomGenerator random,
             NodeId id) {
         this.group = group;
+        this.vmId = settings.vmId();
         this.network = network;
         this.probes = probes;
         String platform = settings.platform().toString();
@@ -108,13 +114,14 @@
                         endpoints.onPeerDead(member.id());
                     }
                 });
+        this.loads = new LoadExchange(network, membership, endpoints, clock);
         this.feed =
                 new EndpointFeed(
                         cloud,
                         endpoints,
                         replica::isWatcher,
                         this::publish,
-                        Cluster::onNotice,
+                        this::onNotice,
                         metrics,
                         clock);
     }
@@ -180,8 +187,15 @@
         replica.propose(changed.stream().map(records::encode).toList());
     }
 
-    private static void onNotice(ReclaimNotice notice) {
+    private void onNotice(ReclaimNotice notice) {
         LOG.info("VM {} is reclaimed at {}", notice.vmId(), notice.reclaimAt());
+        onEntryNotice(notice.vmId(), notice.reclaimAt());
+    }
+
+    private void onEntryNotice(String noticedVm, Instant at) {
+        if (!vmId.isEmpty() && noticedVm.equals(vmId)) {
+            ownReclaim.compareAndSet(null, at);
+        }
     }
 
     /** Spreads an entry that an operator has changed through this node. */
@@ -238,11 +252,12 @@
 
     /** Returns when the platform takes the VM of this node, if that is announced. */
     Optional<Instant> reclaimAt() {
-        return Optional.empty();
+        return Optional.ofNullable(ownReclaim.get());
     }
 
     @Override
     public void close() {
+        loads.close();
         feed.close();
         replica.close();
         membership.close();
--- a/node/src/main/java/org/carobdoor/node/Node.java
+++ b/node/src/main/java/org/carobdoor/node/Node.java
@@ -39,6 +39,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final int ID_BYTES = 5;
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+    private static final Duration RECLAIM_POLL = Duration.ofMillis(100);
+
+    /** How long before the reclaim open streams are handed over to their copy holders. */
+    private static final Duration STREAM_HANDOVER = Duration.ofSeconds(2);
 
     private final NodeSettings settings;
     private final InstantSource clock;
@@ -47,6 +51,7 @@
     private final Serving serving;
     private final CallerGuard guard;
     private final HttpServer http;
+    private volatile boolean closed;
 
     private Node(
             NodeSettings settings,
@@ -117,8 +122,9 @@
             }
             case Result.Ok<HttpServer>(var server) -> {
                 LOG.info("node {} serves on {}", cluster.self().id(), settings.http());
-                yield Result.ok(
-                        new Node(settings, clock, metrics, cluster, serving, guard, server));
+                Node node = new Node(settings, clock, metrics, cluster, serving, guard, server);
+                Thread.ofVirtual().name("own-reclaim").start(node::awaitOwnReclaim);
+                yield Result.ok(node);
             }
         };
     }
@@ -195,17 +201,42 @@
         serving.work().drain(false);
     }
 
+    /**
+     * Drains when the VM of this node is announced to be reclaimed: submitted work is handed over
+     * at once, streams shortly before the end, so that most of them finish here.
+     */
+    private void awaitOwnReclaim() {
+        while (!closed && cluster.reclaimAt().isEmpty()) {
+            sleep(RECLAIM_POLL);
+        }
+        if (closed) {
+            return;
+        }
+        Instant handOverAt = cluster.reclaimAt().orElseThrow().minus(STREAM_HANDOVER);
+        startDraining(cluster, serving, guard);
+        while (!closed && clock.instant().isBefore(handOverAt)) {
+            sleep(DRAIN_POLL);
+        }
+        if (!closed) {
+            LOG.info("handing over {} streams before the reclaim", guard.inFlight());
+            serving.work().drain(true);
+        }
+    }
+
+    private static void sleep(Duration time) {
+        try {
+            Thread.sleep(time);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Refuses new work and waits until no request is in flight. */
     public void stopGracefully() {
         startDraining(cluster, serving, guard);
         Instant deadline = clock.instant().plus(settings.requests().timeout());
         while (guard.inFlight() > 0 && clock.instant().isBefore(deadline)) {
-            try {
-                Thread.sleep(DRAIN_POLL);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
-            }
+            sleep(DRAIN_POLL);
         }
         boolean handedOver = serving.work().awaitDrained(deadline);
         LOG.info(
@@ -217,6 +248,7 @@
 
     @Override
     public void close() {
+        closed = true;
         http.close();
         serving.close();
         cluster.close();
--- a/node/src/main/java/org/carobdoor/node/http/EventStream.java
+++ b/node/src/main/java/org/carobdoor/node/http/EventStream.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Writes server-sent events to one caller, one at a time.
@@ -16,7 +17,7 @@
  * stream and no more than one event a caller is buffered.
  */
 final class EventStream implements AutoCloseable {
-    private final Sender sender;
+    private final @Nullable Sender sender;
     private final Duration writeTimeout;
     private boolean gone;
 
@@ -24,18 +25,29 @@
     EventStream(Context ctx, Duration writeTimeout) {
         ctx.setResponseType("text/event-stream");
         ctx.setResponseHeader("Cache-Control", "no-cache");
-        this.sender = ctx.responseSender();
         this.writeTimeout = writeTimeout;
+        this.sender = senderOf(ctx);
+        this.gone = sender == null;
+    }
+
+    private static @Nullable Sender senderOf(Context ctx) {
+        try {
+            return ctx.responseSender();
+        } catch (IllegalStateException e) {
+            // The caller has closed its connection before the response started.
+            return null;
+        }
     }
 
     /** Writes one event; returns false if the caller is gone or does not read. */
     boolean send(String data) {
-        if (gone) {
+        Sender to = sender;
+        if (gone || to == null) {
             return false;
         }
         CompletableFuture<Boolean> written = new CompletableFuture<>();
         byte[] event = ("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8);
-        sender.write(event, (ctx, error) -> written.complete(error == null));
+        to.write(event, (ctx, error) -> written.complete(error == null));
         try {
             gone = !written.get(writeTimeout.toMillis(), TimeUnit.MILLISECONDS);
         } catch (TimeoutException | ExecutionException e) {
@@ -49,6 +61,8 @@
 
     @Override
     public void close() {
-        sender.close();
+        if (sender != null) {
+            sender.close();
+        }
     }
 }
--- a/node/src/main/java/org/carobdoor/node/settings/NodeSettings.java
+++ b/node/src/main/java/org/carobdoor/node/settings/NodeSettings.java
@@ -13,6 +13,8 @@
  * }</pre>
  *
  * @param name the name of the VM, part of the node's id
+ * @param vmId the platform's identifier of the VM, by which its own reclaim notice is recognised;
+ *     empty if it is not known
  * @param zone the availability zone of the VM
  * @param http where callers and operators connect
  * @param peer where other nodes connect: TCP for messages, UDP for probes
@@ -26,6 +28,7 @@
  */
 public record NodeSettings(
         String name,
+        String vmId,
         AvailabilityZone zone,
         InetSocketAddress http,
         InetSocketAddress peer,
--- a/node/src/main/java/org/carobdoor/node/settings/SettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/settings/SettingsLoader.java
@@ -68,6 +68,7 @@
         NodeSettings settings =
                 new NodeSettings(
                         name,
+                        node.string("vm_id", ""),
                         new AvailabilityZone(zone.isBlank() ? "missing" : zone),
                         listen.address("http"),
                         listen.address("peer"),
--- a/node/src/main/java/org/carobdoor/node/work/AttemptRunner.java
+++ b/node/src/main/java/org/carobdoor/node/work/AttemptRunner.java
@@ -26,11 +26,17 @@
     private final WorkPorts ports;
     private final WorkTable table;
     private final Consumer<List<WorkOperation>> perform;
+    private final Runnable onProgress;
     private final Map<String, Running> running = new ConcurrentHashMap<>();
     private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
     private volatile boolean claimsStopped;
 
-    AttemptRunner(WorkPorts ports, WorkTable table, Consumer<List<WorkOperation>> perform) {
+    AttemptRunner(
+            WorkPorts ports,
+            WorkTable table,
+            Consumer<List<WorkOperation>> perform,
+            Runnable onProgress) {
+        this.onProgress = onProgress;
         this.ports = ports;
         this.table = table;
         this.perform = perform;
@@ -156,6 +162,7 @@
             request.progressed = true;
             request.pauses = 0;
             perform.accept(table.onTokens(request.id, attempt, count, text, false));
+            onProgress.run();
         }
 
         @Override
@@ -166,6 +173,7 @@
             ended = true;
             request.finishClaim(RunState.RAN);
             perform.accept(table.onTokens(request.id, attempt, 0, "", true));
+            onProgress.run();
         }
 
         @Override
--- a/node/src/main/java/org/carobdoor/node/work/WorkDriver.java
+++ b/node/src/main/java/org/carobdoor/node/work/WorkDriver.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
 import org.carobdoor.FailureKind;
 import org.carobdoor.NodeId;
 import org.carobdoor.Result;
@@ -49,13 +50,15 @@
             new ConcurrentHashMap<>();
     private final Set<String> received = ConcurrentHashMap.newKeySet();
     private final Set<NodeId> waiting = ConcurrentHashMap.newKeySet();
+    private final AtomicLong progressSentAt =
+            new AtomicLong(System.nanoTime() - PROGRESS_EVERY.toNanos());
     private volatile boolean closed;
 
     WorkDriver(WorkPorts ports, WorkTable table, Waiters waiters) {
         this.ports = ports;
         this.table = table;
         this.waiters = waiters;
-        this.attempts = new AttemptRunner(ports, table, this::perform);
+        this.attempts = new AttemptRunner(ports, table, this::perform, this::sendProgressIfDue);
     }
 
     void start(WorkReader reader) {
@@ -78,7 +81,7 @@
                     return null;
                 });
         ports.members().onChange(member -> perform(table.onMember(member)));
-        run(() -> loop(PROGRESS_EVERY, this::sendProgress));
+        run(() -> loop(PROGRESS_EVERY, this::sendProgressIfDue));
         run(() -> loop(TICK_EVERY, () -> perform(table.tick())));
     }
 
@@ -227,6 +230,18 @@
         perform(table.onDecision(ask, decision));
     }
 
+    /**
+     * Sends progress at once if none was sent in the last interval, so that the first token does
+     * not wait for the end of one.
+     */
+    private void sendProgressIfDue() {
+        long now = System.nanoTime();
+        long last = progressSentAt.get();
+        if (now - last >= PROGRESS_EVERY.toNanos() && progressSentAt.compareAndSet(last, now)) {
+            sendProgress();
+        }
+    }
+
     private void sendProgress() {
         table.collectProgress(holder -> !waiting.contains(holder))
                 .forEach(
--- a/standins/src/main/java/org/carobdoor/standins/platform/PlatformOptions.java
+++ b/standins/src/main/java/org/carobdoor/standins/platform/PlatformOptions.java
@@ -63,6 +63,12 @@
         return this;
     }
 
+    /** Sets the allowed reads a second of the weight store; returns this object. */
+    public PlatformOptions weightRate(double reads) {
+        weightsPerSecond = reads;
+        return this;
+    }
+
     /** Sets the lag of the list of VMs; returns this object. */
     public PlatformOptions listLagMillis(long value) {
         listLagMillis = value;
