Check streams against planned stops, and reclaim daemons' VMs in fault runs

Cause: a stream cut off by a planned stop counted like one cut off by a kill. Change: the run remembers which daemons a fault broke; a stream cut off anywhere else is a violation. New faults: the reclaim of one entry VM and of a zone of entry VMs, one of which dies partway through its handover.

--- a/bench/src/main/java/org/carobdoor/bench/cluster/LocalCluster.java
+++ b/bench/src/main/java/org/carobdoor/bench/cluster/LocalCluster.java
@@ -97,8 +97,22 @@
         }
     }
 
+    private void registerNode(String name) throws IOException {
+        generations.merge(name, 1, Integer::sum);
+        String vm =
+                """
+                {"id": "%s", "role": "entry", "zone": "%s", "address": "127.0.0.1:%d",
+                 "service": "", "models": [], "state": "live"}
+                """;
+        http.post(
+                url("platform") + "/control/vms",
+                "",
+                String.format(vm, vmId(name), zoneOf(name), port(name + "-peer")));
+    }
+
     /** Starts the daemon {@code name}, also again after its end. */
     public void startNode(String name) throws IOException {
+        registerNode(name);
         Path settings = runDir.resolve(name + ".toml");
         Files.writeString(settings, settingsOf(name));
         List<String> command = new ArrayList<>();
@@ -164,6 +178,7 @@
         return """
         [node]
         name = "%s"
+        vm_id = "%s"
         availability_zone = "%s"
         [listen]
         http = "127.0.0.1:%d"
@@ -181,6 +196,7 @@
         """
                 .formatted(
                         name.replace("-", "_"),
+                        vmId(name),
                         zoneOf(name),
                         port(name),
                         port(name + "-peer"),
--- a/bench/src/main/java/org/carobdoor/bench/faults/Fault.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/Fault.java
@@ -11,6 +11,8 @@
         return this instanceof KillNode
                 || this instanceof PauseNode
                 || this instanceof StopNode
+                || this instanceof ReclaimNode
+                || this instanceof ReclaimZone
                 || this instanceof KillZone;
     }
 
@@ -23,6 +25,15 @@
     /** Stops a daemon gracefully and starts a new one. */
     record StopNode(String node, long millis) implements Fault {}
 
+    /** Announces the reclaim of a daemon's VM, kills it at its end, and starts a new one. */
+    record ReclaimNode(String node, long millis) implements Fault {}
+
+    /**
+     * Announces the reclaim of all daemons' VMs of a zone, kills half of them partway through their
+     * handover and the others at the end, and starts new ones.
+     */
+    record ReclaimZone(String zone, long millis) implements Fault {}
+
     /** Kills all daemons of an availability zone and starts new ones afterwards. */
     record KillZone(String zone, long millis) implements Fault {}
 
--- a/bench/src/main/java/org/carobdoor/bench/faults/FaultInjector.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/FaultInjector.java
@@ -12,6 +12,10 @@
 final class FaultInjector {
     private static final Duration NODE_START = Duration.ofSeconds(60);
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(60);
+
+    /** Streams of a node that was paused longer than it takes to declare it dead are given up. */
+    private static final Duration AFTER_PAUSE = Duration.ofSeconds(15);
+
     private static final long LEAVING_BOUND_MILLIS = 3_000;
 
     /**
@@ -21,11 +25,13 @@
     private static final long NODE_RECOVERY_MILLIS = 10_000;
 
     private final LocalCluster cluster;
+    private final BrokenNodes broken;
     private final Violations violations;
     private final Semaphore nodes = new Semaphore(1);
     private final Semaphore platform = new Semaphore(1);
 
-    FaultInjector(LocalCluster cluster, Violations violations) {
+    FaultInjector(LocalCluster cluster, BrokenNodes broken, Violations violations) {
+        this.broken = broken;
         this.cluster = cluster;
         this.violations = violations;
     }
@@ -56,13 +62,11 @@
         System.out.println(Instant.now() + " fault " + fault);
         switch (fault) {
             case Fault.KillNode f -> replaceNodes(List.of(f.node()), f.millis());
-            case Fault.KillZone f ->
-                    replaceNodes(
-                            cluster.nodeNames().stream()
-                                    .filter(n -> LocalCluster.zoneOf(n).equals(f.zone()))
-                                    .toList(),
-                            f.millis());
+            case Fault.KillZone f -> replaceNodes(nodesOf(f.zone()), f.millis());
+            case Fault.ReclaimNode f -> reclaimNodes(List.of(f.node()), f.millis());
+            case Fault.ReclaimZone f -> reclaimNodes(nodesOf(f.zone()), f.millis());
             case Fault.PauseNode f -> {
+                broken.mark(f.node(), Instant.now().plusMillis(f.millis()).plus(AFTER_PAUSE));
                 cluster.process(f.node()).pause();
                 Thread.sleep(f.millis());
                 cluster.process(f.node()).resume();
@@ -88,13 +92,46 @@
 
     private void replaceNodes(List<String> names, long millis)
             throws IOException, InterruptedException {
+        names.forEach(this::kill);
+        Thread.sleep(millis);
+        startNodes(names);
+    }
+
+    private void kill(String node) {
+        broken.mark(node, Instant.now().plusSeconds(1));
+        cluster.process(node).kill();
+    }
+
+    private List<String> nodesOf(String zone) {
+        return cluster.nodeNames().stream()
+                .filter(n -> LocalCluster.zoneOf(n).equals(zone))
+                .toList();
+    }
+
+    private void reclaimNodes(List<String> names, long noticeMillis)
+            throws IOException, InterruptedException {
         for (String n : names) {
-            cluster.process(n).kill();
+            announce(n, noticeMillis);
         }
-        Thread.sleep(millis);
+        // The first of several dies partway through its handover.
+        if (names.size() > 1) {
+            Thread.sleep(noticeMillis / 20);
+            kill(names.getFirst());
+        }
+        Thread.sleep(noticeMillis);
+        names.forEach(this::kill);
         startNodes(names);
     }
 
+    private void announce(String name, long noticeMillis) throws IOException {
+        String body = "{\"vmId\": \"%s\", \"noticeMillis\": %d}";
+        cluster.http()
+                .post(
+                        cluster.url("platform") + "/control/reclaim",
+                        "",
+                        body.formatted(cluster.vmId(name), noticeMillis));
+    }
+
     private void stopNode(String name) throws IOException {
         cluster.process(name).terminate();
         if (!cluster.process(name).await(STOP_TIMEOUT)) {
@@ -133,13 +170,7 @@
 
     private void reclaim(String engine, long noticeMillis)
             throws IOException, InterruptedException {
-        String body =
-                "{\"vmId\": \""
-                        + cluster.vmId(engine)
-                        + "\", \"noticeMillis\": "
-                        + noticeMillis
-                        + "}";
-        cluster.http().post(cluster.url("platform") + "/control/reclaim", "", body);
+        announce(engine, noticeMillis);
         long noticed = System.currentTimeMillis();
         Thread.sleep(noticeMillis - 500);
         checkNoNewWork(engine, noticed);
--- a/bench/src/main/java/org/carobdoor/bench/faults/FaultPlan.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/FaultPlan.java
@@ -19,7 +19,7 @@
     /** Returns the next fault. */
     Fault next() {
         long millis = random.nextLong(3_000, 12_000);
-        return switch (random.nextInt(12)) {
+        return switch (random.nextInt(15)) {
             case 0 -> new Fault.KillNode(pick(cluster.nodeNames()), millis);
             case 1 -> new Fault.PauseNode(pick(cluster.nodeNames()), millis);
             case 2 -> new Fault.StopNode(pick(cluster.nodeNames()), millis);
@@ -29,6 +29,10 @@
             case 6, 7 -> new Fault.LoseAnswers(millis, random.nextInt(1, 20));
             case 8 -> new Fault.ReclaimEngine(pick(cluster.engineNames()), NOTICE_MILLIS);
             case 9 -> new Fault.KillEngine(pick(cluster.engineNames()), millis);
+            case 11, 12 -> new Fault.ReclaimNode(pick(cluster.nodeNames()), NOTICE_MILLIS);
+            case 13 ->
+                    new Fault.ReclaimZone(
+                            LocalCluster.zoneOf(pick(cluster.nodeNames())), NOTICE_MILLIS);
             case 10 -> new Fault.SilentEngine(pick(cluster.engineNames()), millis);
             default ->
                     new Fault.LoseServiceAnswers(
--- a/bench/src/main/java/org/carobdoor/bench/faults/FaultRun.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/FaultRun.java
@@ -68,16 +68,17 @@
         Path runDir = Files.createTempDirectory("carobdoor-faults");
         System.out.println("seed " + seed + ", " + seconds + " s of faults, logs in " + runDir);
         Violations violations = new Violations();
+        BrokenNodes broken = new BrokenNodes();
         try (LocalCluster cluster = LocalCluster.start(ClusterPlan.small(), rootDir, runDir)) {
             cluster.awaitReady(READY);
             Entries.create(cluster);
-            List<Workload> workloads = workloads(cluster, violations);
+            List<Workload> workloads = workloads(cluster, broken, violations);
             AtomicBoolean stop = new AtomicBoolean();
             List<Thread> threads = new ArrayList<>();
             for (Workload w : workloads) {
                 threads.add(Thread.ofVirtual().start(() -> repeat(w, stop, violations)));
             }
-            injectFaults(cluster, violations);
+            injectFaults(cluster, broken, violations);
             Thread.sleep(SETTLE);
             stop.set(true);
             for (Thread t : threads) {
@@ -95,12 +96,13 @@
         return all.isEmpty();
     }
 
-    private List<Workload> workloads(LocalCluster cluster, Violations violations) {
+    private List<Workload> workloads(
+            LocalCluster cluster, BrokenNodes broken, Violations violations) {
         SplittableRandom random = new SplittableRandom(seed);
         return List.of(
                 new BidWorkload(cluster, violations, random.split()),
-                new StreamWorkload(cluster, violations, random.split()),
-                new StreamWorkload(cluster, violations, random.split()),
+                new StreamWorkload(cluster, broken, violations, random.split()),
+                new StreamWorkload(cluster, broken, violations, random.split()),
                 new SubmitWorkload(cluster, violations, random.split()),
                 new SubmitWorkload(cluster, violations, random.split()),
                 new CatalogueWorkload(cluster, violations, random.split()));
@@ -118,10 +120,10 @@
         }
     }
 
-    private void injectFaults(LocalCluster cluster, Violations violations)
+    private void injectFaults(LocalCluster cluster, BrokenNodes broken, Violations violations)
             throws InterruptedException {
         FaultPlan plan = new FaultPlan(cluster, seed);
-        FaultInjector injector = new FaultInjector(cluster, violations);
+        FaultInjector injector = new FaultInjector(cluster, broken, violations);
         List<Thread> active = new ArrayList<>();
         Instant end = Instant.now().plusSeconds(seconds);
         while (Instant.now().isBefore(end)) {
--- a/bench/src/main/java/org/carobdoor/bench/faults/StreamWorkload.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/StreamWorkload.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.ConnectException;
+import java.time.Instant;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 import okhttp3.MediaType;
@@ -20,14 +22,21 @@
     private static final int TOKENS = 100;
 
     private final LocalCluster cluster;
+    private final BrokenNodes broken;
     private final Violations violations;
     private final RandomGenerator random;
     private final AtomicInteger next = new AtomicInteger();
     private final AtomicInteger whole = new AtomicInteger();
     private final AtomicInteger refused = new AtomicInteger();
+    private final AtomicInteger unreachable = new AtomicInteger();
     private final AtomicInteger cut = new AtomicInteger();
 
-    StreamWorkload(LocalCluster cluster, Violations violations, RandomGenerator random) {
+    StreamWorkload(
+            LocalCluster cluster,
+            BrokenNodes broken,
+            Violations violations,
+            RandomGenerator random) {
+        this.broken = broken;
         this.cluster = cluster;
         this.violations = violations;
         this.random = random;
@@ -41,6 +50,7 @@
         String node = nodes.get(random.nextInt(nodes.size()));
         StringBuilder text = new StringBuilder();
         boolean done = false;
+        Instant start = Instant.now();
         try (Response r = cluster.http().client().newCall(request(node, prompt)).execute()) {
             if (r.code() != 200) {
                 refused.incrementAndGet();
@@ -48,10 +58,17 @@
                 return;
             }
             done = read(r.body().source(), text);
+        } catch (ConnectException e) {
+            unreachable.incrementAndGet();
+            Thread.sleep(200);
+            return;
         } catch (IOException e) {
             // The node was lost with the connection; what has arrived must still be right.
             done = false;
         }
+        if (!done && !broken.explains(node, start)) {
+            violations.add("P6 stream \"" + prompt + "\" was cut off at " + node);
+        }
         if (!expected.startsWith(text.toString())) {
             violations.add("P2 stream \"" + prompt + "\" got \"" + text + "\"");
         } else if (done && text.length() != expected.length()) {
@@ -96,6 +113,14 @@
 
     @Override
     public String summary() {
-        return "streams: " + whole + " whole, " + refused + " refused, " + cut + " cut off";
+        return "streams: "
+                + whole
+                + " whole, "
+                + refused
+                + " refused, "
+                + unreachable
+                + " not connected, "
+                + cut
+                + " cut off by faults";
     }
 }
