--- a/bench/src/main/java/org/carobdoor/bench/faults/FaultInjector.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/FaultInjector.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -162,10 +163,19 @@
 
     private void control(String process, String fault, String repaired, Fault f)
             throws IOException, InterruptedException {
-        String url = cluster.url(process) + "/control/faults";
-        cluster.http().post(url, "", "{" + fault + "}");
+        change(process, fault);
         Thread.sleep(f.millis());
-        cluster.http().post(url, "", "{" + repaired + "}");
+        change(process, repaired);
+    }
+
+    private void change(String process, String faults) throws IOException {
+        try {
+            String url = cluster.url(process) + "/control/faults";
+            cluster.http().post(url, "", "{" + faults + "}");
+        } catch (ConnectException e) {
+            // Another fault has killed the process, and its successor starts without faults.
+            System.out.println(Instant.now() + " not changed, " + process + " is down");
+        }
     }
 
     private void reclaim(String engine, long noticeMillis)
