Refuse form bodies instead of dropping them

Cause: tried by hand with curl -d: the server decodes form bodies before a handler runs, so a plain service would have received an empty body, and the README's own example failed with 'the body must be a JSON object'. Ruled out: rebuilding the body from the decoded fields, which does not give the bytes that the caller sent.

--- a/node/src/main/java/org/carobdoor/node/http/AdminRoutes.java
+++ b/node/src/main/java/org/carobdoor/node/http/AdminRoutes.java
@@ -121,6 +121,7 @@
     }
 
     private Context put(Context ctx) {
+        BodyTypes.checkNoForm(ctx);
         String text = new String(ctx.body().bytes(), StandardCharsets.UTF_8);
         String name = ctx.path("name").value();
         return answer(
--- a/node/src/main/java/org/carobdoor/node/http/ModelRoutes.java
+++ b/node/src/main/java/org/carobdoor/node/http/ModelRoutes.java
@@ -76,6 +76,7 @@
         ClientAccount account = guard.authenticate(ctx);
         try (CallerGuard.InFlight inFlight = guard.begin()) {
             Instant deadline = guard.deadline(ctx);
+            BodyTypes.checkNoForm(ctx);
             ModelRequest request = parse(ctx, chat, account);
             CatalogueEntry entry = guard.modelEntry(request.entry(), account);
             WorkSpec spec =
--- a/node/src/main/java/org/carobdoor/node/http/ServiceRoutes.java
+++ b/node/src/main/java/org/carobdoor/node/http/ServiceRoutes.java
@@ -98,6 +98,7 @@
         Instant deadline = guard.deadline(ctx);
         String path = ctx.getRequestPath().substring(ROOT.length());
         CatalogueEntry entry = guard.serviceEntry(path, account);
+        BodyTypes.checkNoForm(ctx);
         ServiceRequest request = requestOf(ctx, path, account);
         boolean safe = List.of("GET", "HEAD").contains(ctx.getMethod());
         boolean repeatable = entry.repeatable() || safe;
