Read notices before the list, and cancel engine streams without closing them

Change: the list is applied only after the notices were read once; cancelling a stream from another thread only cancels the call. EngineCallTest covers streams after cancelled ones; it was not seen to fail with the old code. Measured: EngineCallTest and HttpServerTest pass.

--- a/node/src/main/java/org/carobdoor/node/endpoint/EndpointFeed.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointFeed.java
@@ -34,6 +34,8 @@
     private static final Duration READER_CHECK = Duration.ofMillis(500);
     private static final Duration LIST_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration NOTICE_WAIT = Duration.ofSeconds(20);
+    private static final Duration FIRST_NOTICE_WAIT = Duration.ofMillis(500);
+    private static final Duration NOTICE_CHECK = Duration.ofMillis(50);
 
     private final CloudClient cloud;
     private final EndpointView view;
@@ -44,6 +46,7 @@
     private final InstantSource clock;
     private final AtomicBoolean closed = new AtomicBoolean();
     private final AtomicBoolean listed = new AtomicBoolean();
+    private final AtomicBoolean noticesRead = new AtomicBoolean();
 
     /** Notices by VM: the list can show a VM as live after its notice, or for the first time. */
     private final ConcurrentMap<EndpointId, ReclaimNotice> notices = new ConcurrentHashMap<>();
@@ -85,6 +88,11 @@
 
     private void readLists() {
         while (sleepUnlessReader()) {
+            if (!noticesRead.get()) {
+                // The list lags behind the notices: it shows a VM as live that is announced to go.
+                sleep(NOTICE_CHECK);
+                continue;
+            }
             Instant deadline = clock.instant().plus(LIST_TIMEOUT);
             switch (cloud.vms(deadline)) {
                 case Result.Ok<VmList>(var list) -> takeList(list.endpoints());
@@ -114,11 +122,13 @@
     private void readNotices() {
         long after = 0;
         while (sleepUnlessReader()) {
-            Instant deadline = clock.instant().plus(NOTICE_WAIT);
+            Duration wait = noticesRead.get() ? NOTICE_WAIT : FIRST_NOTICE_WAIT;
+            Instant deadline = clock.instant().plus(wait);
             switch (cloud.notices(after, deadline)) {
                 case Result.Ok<NoticeList>(var list) -> {
                     after = list.sequence();
                     list.notices().forEach(this::takeNotice);
+                    noticesRead.set(true);
                 }
                 case Result.Err<NoticeList>(var failure) -> {
                     metrics.event("notices_failed", 1);
--- a/node/src/main/java/org/carobdoor/node/endpoint/EngineCall.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EngineCall.java
@@ -86,6 +86,16 @@
                 new Failure(FailureKind.UNKNOWN, "engine.stream", peer, detail));
     }
 
+    /**
+     * Cancels the stream from any thread; the reading thread then gets a broken event. Only that
+     * thread may close the call: a response that is closed while it is read leaves its connection
+     * unusable, and the connection could serve another call.
+     */
+    public void cancel() {
+        call.cancel();
+    }
+
+    /** Cancels the stream if it has not ended, and frees its connection. */
     @Override
     public void close() {
         call.cancel();
--- a/node/src/main/java/org/carobdoor/node/execution/EngineAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/execution/EngineAttempt.java
@@ -139,7 +139,7 @@
         closed = true;
         EngineCall open = call;
         if (open != null) {
-            open.close();
+            open.cancel();
         }
     }
 }
