Use one constant for each catalogue key prefix and drop an unused counter

The prefixes of stored entries and of replica items each stood in two or three places; the counter of recomputed tokens was never incremented (the event work_recomputed_tokens counts them). Change: the prefixes come from CatalogueStore and ReplicaService; the counter is removed. Behaviour is unchanged.

--- a/node/src/main/java/org/carobdoor/node/catalogue/CatalogueItems.java
+++ b/node/src/main/java/org/carobdoor/node/catalogue/CatalogueItems.java
@@ -4,6 +4,8 @@
 import org.carobdoor.VersionedValue;
 import org.carobdoor.internal.catalogue.CatalogueEntry;
 import org.carobdoor.message.ReplicaItem;
+import org.carobdoor.node.replica.ReplicaService;
+import org.carobdoor.platform.catalogue.CatalogueStore;
 import org.carobdoor.platform.catalogue.EntryText;
 import org.carobdoor.platform.catalogue.ParsedEntry;
 import org.carobdoor.platform.catalogue.StoredEntry;
@@ -11,15 +13,13 @@
 /** Converts between stored entries, replica items, and entries in force. */
 public final class CatalogueItems {
     /** The prefix of the replica keys of catalogue entries. */
-    public static final String KEY_PREFIX = "entry/";
-
-    private static final String STORE_PREFIX = "catalogue/entries/";
+    public static final String KEY_PREFIX = ReplicaService.ENTRY_PREFIX;
 
     private CatalogueItems() {}
 
     /** Returns the replica item of a value of the key-value service. */
     public static ReplicaItem toItem(VersionedValue value) {
-        String name = value.key().substring(STORE_PREFIX.length());
+        String name = value.key().substring(CatalogueStore.ENTRY_PREFIX.length());
         // A value that is no entry gets revision 0, so that any entry replaces it.
         return StoredEntry.decode(value.value())
                 .map(e -> new ReplicaItem(KEY_PREFIX + name, e.revision(), e.removed(), e.encode()))
--- a/node/src/main/java/org/carobdoor/node/metrics/NodeMetrics.java
+++ b/node/src/main/java/org/carobdoor/node/metrics/NodeMetrics.java
@@ -29,11 +29,6 @@
     private final Counter problems =
             counter("carobdoor_problems", "Problem documents sent, by problem", "problem");
     private final Counter tokens = counter("carobdoor_tokens", "Tokens sent to callers", "entry");
-    private final Counter recomputed =
-            counter(
-                    "carobdoor_recomputed_tokens",
-                    "Tokens computed again after a stream was interrupted",
-                    "entry");
     private final Counter events =
             counter("carobdoor_events", "Events inside the node, by kind", "event");
     private final Histogram firstToken =
@@ -73,11 +68,6 @@
         tokens.labelValues(entry).inc(count);
     }
 
-    /** Counts tokens computed again. */
-    public void recomputed(String entry, int count) {
-        recomputed.labelValues(entry).inc(count);
-    }
-
     /** Counts {@code n} events of one kind. */
     public void event(String kind, long n) {
         events.labelValues(kind).inc(n);
--- a/node/src/main/java/org/carobdoor/node/replica/CatalogueWatch.java
+++ b/node/src/main/java/org/carobdoor/node/replica/CatalogueWatch.java
@@ -17,6 +17,7 @@
 import org.carobdoor.Result;
 import org.carobdoor.ValueList;
 import org.carobdoor.VersionedValue;
+import org.carobdoor.platform.catalogue.CatalogueStore;
 
 /**
  * Follows the catalogue in the key-value service while this node is a watcher, and reads it once at
@@ -27,7 +28,7 @@
  * then.
  */
 final class CatalogueWatch implements AutoCloseable {
-    static final String PREFIX = "catalogue/entries/";
+    static final String PREFIX = CatalogueStore.ENTRY_PREFIX;
 
     /** Any key below the prefix serves to check whether the service answers. */
     private static final String CHECK_KEY = PREFIX + "-";
