--- a/bench/src/main/java/org/carobdoor/bench/cluster/HttpProbe.java
+++ b/bench/src/main/java/org/carobdoor/bench/cluster/HttpProbe.java
@@ -10,7 +10,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
-import org.carobdoor.platform.http.SingleAttemptHttp;
+import org.carobdoor.clients.http.SingleAttemptHttp;
 
 /** A plain HTTP client for tests and tools. It repeats nothing. */
 public final class HttpProbe implements AutoCloseable {
--- a/cli/src/main/java/org/carobdoor/cli/AdminClient.java
+++ b/cli/src/main/java/org/carobdoor/cli/AdminClient.java
@@ -12,8 +12,8 @@
 import okhttp3.Response;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.platform.http.SendTrace;
-import org.carobdoor.platform.http.SingleAttemptHttp;
+import org.carobdoor.clients.http.SendTrace;
+import org.carobdoor.clients.http.SingleAttemptHttp;
 
 /** The client of a node's admin interface. Sends each request at most once. */
 final class AdminClient implements AutoCloseable {
--- a/cli/src/main/java/org/carobdoor/cli/EntryCommands.java
+++ b/cli/src/main/java/org/carobdoor/cli/EntryCommands.java
@@ -4,7 +4,7 @@
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.JsonNode;
 import org.carobdoor.internal.catalogue.CatalogueEntry;
-import org.carobdoor.platform.catalogue.EntryText;
+import org.carobdoor.clients.catalogue.EntryText;
 
 /** The subcommands of {@code carobdoor entry}. */
 final class EntryCommands {
--- a/cli/src/main/java/org/carobdoor/cli/EntryEdits.java
+++ b/cli/src/main/java/org/carobdoor/cli/EntryEdits.java
@@ -5,9 +5,9 @@
 import java.util.Optional;
 import org.carobdoor.Result;
 import org.carobdoor.internal.catalogue.CatalogueEntry;
-import org.carobdoor.platform.catalogue.EntryProblem;
-import org.carobdoor.platform.catalogue.EntryText;
-import org.carobdoor.platform.catalogue.ParsedEntry;
+import org.carobdoor.clients.catalogue.EntryProblem;
+import org.carobdoor.clients.catalogue.EntryText;
+import org.carobdoor.clients.catalogue.ParsedEntry;
 
 /** What the subcommands that change an entry have in common. */
 final class EntryEdits {
--- a/cli/src/test/java/org/carobdoor/cli/DocumentationTest.java
+++ b/cli/src/test/java/org/carobdoor/cli/DocumentationTest.java
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
-import org.carobdoor.platform.catalogue.EntryText;
-import org.carobdoor.platform.catalogue.ParsedEntry;
+import org.carobdoor.clients.catalogue.EntryText;
+import org.carobdoor.clients.catalogue.ParsedEntry;
 import org.junit.jupiter.api.Test;
 
 /** Guards against pages that no longer match the program. */
--- a/platform/src/main/java/org/carobdoor/platform/catalogue/CatalogueStore.java
+++ b/clients/src/main/java/org/carobdoor/clients/catalogue/CatalogueStore.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.catalogue;
+package org.carobdoor.clients.catalogue;
 
 import java.time.Instant;
 import java.time.InstantSource;
--- a/platform/src/main/java/org/carobdoor/platform/catalogue/EditOutcome.java
+++ b/clients/src/main/java/org/carobdoor/clients/catalogue/EditOutcome.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.catalogue;
+package org.carobdoor.clients.catalogue;
 
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/org/carobdoor/platform/catalogue/EntryProblem.java
+++ b/clients/src/main/java/org/carobdoor/clients/catalogue/EntryProblem.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.catalogue;
+package org.carobdoor.clients.catalogue;
 
 /**
  * One thing that is wrong with the text of an entry.
--- a/platform/src/main/java/org/carobdoor/platform/catalogue/EntryReader.java
+++ b/clients/src/main/java/org/carobdoor/clients/catalogue/EntryReader.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.catalogue;
+package org.carobdoor.clients.catalogue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
--- a/platform/src/main/java/org/carobdoor/platform/catalogue/StoredEntry.java
+++ b/clients/src/main/java/org/carobdoor/clients/catalogue/StoredEntry.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.catalogue;
+package org.carobdoor.clients.catalogue;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/org/carobdoor/platform/catalogue/package-info.java
+++ b/clients/src/main/java/org/carobdoor/clients/catalogue/package-info.java
@@ -1,5 +1,5 @@
 /** The text of catalogue entries and their storage in the key-value service. */
 @NullMarked
-package org.carobdoor.platform.catalogue;
+package org.carobdoor.clients.catalogue;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/carobdoor/platform/cloud/CloudClient.java
+++ b/clients/src/main/java/org/carobdoor/clients/cloud/CloudClient.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.cloud;
+package org.carobdoor.clients.cloud;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Instant;
@@ -9,8 +9,8 @@
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.platform.http.JsonAnswer;
-import org.carobdoor.platform.http.JsonCaller;
+import org.carobdoor.clients.http.JsonAnswer;
+import org.carobdoor.clients.http.JsonCaller;
 
 /**
  * The client of the platform's cloud API. All calls block until their deadline at the latest.
--- a/platform/src/main/java/org/carobdoor/platform/cloud/NoticeList.java
+++ b/clients/src/main/java/org/carobdoor/clients/cloud/NoticeList.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.cloud;
+package org.carobdoor.clients.cloud;
 
 import java.util.List;
 
--- a/platform/src/main/java/org/carobdoor/platform/cloud/VmDecoder.java
+++ b/clients/src/main/java/org/carobdoor/clients/cloud/VmDecoder.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.cloud;
+package org.carobdoor.clients.cloud;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetAddress;
--- a/platform/src/main/java/org/carobdoor/platform/cloud/VmPrice.java
+++ b/clients/src/main/java/org/carobdoor/clients/cloud/VmPrice.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.cloud;
+package org.carobdoor.clients.cloud;
 
 import org.carobdoor.AvailabilityZone;
 
--- a/platform/src/main/java/org/carobdoor/platform/cloud/WeightSet.java
+++ b/clients/src/main/java/org/carobdoor/clients/cloud/WeightSet.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.cloud;
+package org.carobdoor.clients.cloud;
 
 /**
  * The weights of one version of a model in the weight store.
--- a/platform/src/main/java/org/carobdoor/platform/cloud/WeightStoreClient.java
+++ b/clients/src/main/java/org/carobdoor/clients/cloud/WeightStoreClient.java
@@ -1,12 +1,12 @@
-package org.carobdoor.platform.cloud;
+package org.carobdoor.clients.cloud;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Instant;
 import java.time.InstantSource;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.platform.http.JsonAnswer;
-import org.carobdoor.platform.http.JsonCaller;
+import org.carobdoor.clients.http.JsonAnswer;
+import org.carobdoor.clients.http.JsonCaller;
 
 /**
  * The client of the platform's weight store, which limits the rate of calls.
--- a/platform/src/main/java/org/carobdoor/platform/cloud/package-info.java
+++ b/clients/src/main/java/org/carobdoor/clients/cloud/package-info.java
@@ -1,5 +1,5 @@
 /** The clients of the platform's cloud API and weight store. */
 @NullMarked
-package org.carobdoor.platform.cloud;
+package org.carobdoor.clients.cloud;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/carobdoor/platform/http/JsonAnswer.java
+++ b/clients/src/main/java/org/carobdoor/clients/http/JsonAnswer.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.http;
+package org.carobdoor.clients.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
--- a/platform/src/main/java/org/carobdoor/platform/http/SendTrace.java
+++ b/clients/src/main/java/org/carobdoor/clients/http/SendTrace.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.http;
+package org.carobdoor.clients.http;
 
 /** Records whether a byte of a request can have left this process. */
 public final class SendTrace {
--- a/platform/src/main/java/org/carobdoor/platform/http/package-info.java
+++ b/clients/src/main/java/org/carobdoor/clients/http/package-info.java
@@ -1,5 +1,5 @@
 /** HTTP clients that send each request at most once. */
 @NullMarked
-package org.carobdoor.platform.http;
+package org.carobdoor.clients.http;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/carobdoor/platform/kv/HttpKeyValueStore.java
+++ b/clients/src/main/java/org/carobdoor/clients/kv/HttpKeyValueStore.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.kv;
+package org.carobdoor.clients.kv;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
@@ -15,8 +15,8 @@
 import org.carobdoor.Result;
 import org.carobdoor.ValueList;
 import org.carobdoor.VersionedValue;
-import org.carobdoor.platform.http.JsonAnswer;
-import org.carobdoor.platform.http.JsonCaller;
+import org.carobdoor.clients.http.JsonAnswer;
+import org.carobdoor.clients.http.JsonCaller;
 
 /**
  * The client of the platform's key-value service. Sends each request at most once.
--- a/platform/src/main/java/org/carobdoor/platform/kv/package-info.java
+++ b/clients/src/main/java/org/carobdoor/clients/kv/package-info.java
@@ -1,5 +1,5 @@
 /** The client of the platform's key-value service. */
 @NullMarked
-package org.carobdoor.platform.kv;
+package org.carobdoor.clients.kv;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/carobdoor/platform/toml/TomlProblems.java
+++ b/clients/src/main/java/org/carobdoor/clients/toml/TomlProblems.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.toml;
+package org.carobdoor.clients.toml;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/platform/src/main/java/org/carobdoor/platform/toml/TomlTable.java
+++ b/clients/src/main/java/org/carobdoor/clients/toml/TomlTable.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.toml;
+package org.carobdoor.clients.toml;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/org/carobdoor/platform/toml/package-info.java
+++ b/clients/src/main/java/org/carobdoor/clients/toml/package-info.java
@@ -1,5 +1,5 @@
 /** Strict reading of TOML: every key is checked, and every problem names file, line and key. */
 @NullMarked
-package org.carobdoor.platform.toml;
+package org.carobdoor.clients.toml;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/test/java/org/carobdoor/platform/catalogue/CatalogueRaceTest.java
+++ b/clients/src/test/java/org/carobdoor/clients/catalogue/CatalogueRaceTest.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.catalogue;
+package org.carobdoor.clients.catalogue;
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
--- a/platform/src/test/java/org/carobdoor/platform/http/SingleAttemptHttpTest.java
+++ b/clients/src/test/java/org/carobdoor/clients/http/SingleAttemptHttpTest.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.http;
+package org.carobdoor.clients.http;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
--- a/platform/src/test/java/org/carobdoor/platform/kv/HttpKeyValueStoreTest.java
+++ b/clients/src/test/java/org/carobdoor/clients/kv/HttpKeyValueStoreTest.java
@@ -1,4 +1,4 @@
-package org.carobdoor.platform.kv;
+package org.carobdoor.clients.kv;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
--- a/core/src/main/java/org/carobdoor/internal/Rendezvous.java
+++ b/core/src/main/java/org/carobdoor/internal/Rendezvous.java
@@ -36,6 +36,16 @@
         return mix(hash(hash(FNV_OFFSET, key) ^ '|', id));
     }
 
+    /** Returns a hash of {@code id} for {@link #weight(long, long)}. */
+    public static long hash(String id) {
+        return mix(hash(FNV_OFFSET, id));
+    }
+
+    /** Returns the weight for the numeric {@code key} of the candidate whose id has the hash. */
+    public static long weight(long key, long idHash) {
+        return mix(mix(key) ^ idHash);
+    }
+
     private static long hash(long seed, String text) {
         long h = seed;
         for (int i = 0; i < text.length(); i++) {
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/deployment/Account.java
@@ -0,0 +1,30 @@
+package org.carobdoor.internal.deployment;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.carobdoor.ClientAccount;
+
+/**
+ * A client account of the configuration.
+ *
+ * @param id the account
+ * @param keys the keys that its callers prove themselves with
+ * @param priority the rank of its requests, which goes before the route's; empty if the route's
+ *     holds
+ * @param quota what it may use; empty if there is no limit
+ */
+public record Account(
+        ClientAccount id, Set<String> keys, OptionalInt priority, Optional<QuotaLimit> quota) {
+
+    /** Copies the set of keys. */
+    public Account {
+        keys = Set.copyOf(keys);
+    }
+
+    @Override
+    public String toString() {
+        // Leaves out the keys, so that they cannot reach a log.
+        return "Account[" + id + "]";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/deployment/QuotaLimit.java
@@ -0,0 +1,20 @@
+package org.carobdoor.internal.deployment;
+
+/**
+ * What a client account may use, over all nodes together.
+ *
+ * @param perSecond the sustained rate, in units a second
+ * @param burst the units that may be used at once on top of the rate
+ * @param countsTokens whether the units are tokens; otherwise they are requests
+ * @param plainTokens the tokens that a request without a prompt counts as
+ */
+public record QuotaLimit(double perSecond, double burst, boolean countsTokens, long plainTokens) {
+
+    /** Returns the units that a request uses, given the tokens of its prompt and answer. */
+    public double unitsOf(long promptAndAnswerTokens) {
+        if (!countsTokens) {
+            return 1;
+        }
+        return promptAndAnswerTokens > 0 ? promptAndAnswerTokens : plainTokens;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/duty/ClusterClock.java
@@ -0,0 +1,58 @@
+package org.carobdoor.internal.duty;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The time of day that most nodes agree on.
+ *
+ * <p>The clock of day of a VM can jump by seconds, and the steady clock stands still while the VM is
+ * suspended. This clock runs with the steady clock and moves to the median of the nodes when it
+ * differs from it by more than {@link #TOLERANCE_MILLIS}. Belongs to one thread.
+ */
+public final class ClusterClock {
+    /** More than two healthy clocks differ, and much less than the windows that are counted. */
+    public static final long TOLERANCE_MILLIS = 250;
+
+    /** Differences older than this are left out. */
+    private static final long FRESH_NANOS = 1_500_000_000L;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private record Difference(long millis, long heardAtNanos) {}
+
+    private final Map<String, Difference> peers = new HashMap<>();
+    private long offsetMillis;
+
+    private ClusterClock(long offsetMillis) {
+        this.offsetMillis = offsetMillis;
+    }
+
+    /** Returns a clock that starts with this VM's clock of day. */
+    public static ClusterClock start(long nowNanos, long wallMillis) {
+        return new ClusterClock(wallMillis - nowNanos / NANOS_PER_MILLI);
+    }
+
+    /** Returns the time in milliseconds since the epoch. */
+    public long millis(long nowNanos) {
+        return nowNanos / NANOS_PER_MILLI + offsetMillis;
+    }
+
+    /** Applies the time that another node has just reported. */
+    public void report(String peer, long peerMillis, long nowNanos) {
+        peers.put(peer, new Difference(peerMillis - millis(nowNanos), nowNanos));
+        peers.values().removeIf(d -> nowNanos - d.heardAtNanos > FRESH_NANOS);
+        long[] differences = new long[peers.size() + 1];
+        int n = 0;
+        for (Difference d : peers.values()) {
+            differences[n++] = d.millis;
+        }
+        Arrays.sort(differences);
+        long median = differences[differences.length / 2];
+        if (Math.abs(median) > TOLERANCE_MILLIS) {
+            offsetMillis += median;
+            peers.clear();
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/request/CallerRequest.java
@@ -0,0 +1,32 @@
+package org.carobdoor.internal.request;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The head of a caller's request.
+ *
+ * @param id identifies this request of the caller; a repeat has another one
+ * @param host the host that it names
+ * @param path its path without the query
+ * @param waitMillis how long the caller will wait for the answer, if it says so
+ * @param key the key of the caller's account, if it sent one
+ * @param prompt the prompt, on routes of model engines
+ * @param resumeAfter the identifier of the last event that the caller has, if it resumes a stream
+ */
+public record CallerRequest(
+        String id,
+        String host,
+        String path,
+        OptionalLong waitMillis,
+        @Nullable String key,
+        Optional<Prompt> prompt,
+        Optional<String> resumeAfter) {
+
+    @Override
+    public String toString() {
+        // Leaves out the key, so that it cannot reach a log.
+        return "CallerRequest[" + id + " " + host + path + "]";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/request/EndpointAnswer.java
@@ -0,0 +1,24 @@
+package org.carobdoor.internal.request;
+
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The head of an endpoint's answer.
+ *
+ * @param status the HTTP status
+ * @param requestId the request that it answers, if it says so
+ * @param notExecuted whether it states that the request was not run and never will be
+ * @param signed whether it carries the endpoint's signature
+ * @param encoded whether the body is not the endpoint's plain body
+ * @param closes whether the connection ends after it
+ * @param keepAliveMillis how long the endpoint keeps the idle connection, if it says so
+ */
+public record EndpointAnswer(
+        int status,
+        @Nullable String requestId,
+        boolean notExecuted,
+        boolean signed,
+        boolean encoded,
+        boolean closes,
+        OptionalLong keepAliveMillis) {}
--- a/core/src/main/java/org/carobdoor/internal/retries/RetryBudget.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryBudget.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * The retries that one catalogue entry may use: a tenth of its requests, and a few more so that an
- * entry with little traffic can retry at all. Safe for use by several threads.
+ * The retries that one catalogue entry or service may use: a share of its requests, and a few more
+ * so that one with little traffic can retry at all. Safe for use by several threads.
  *
  * <p>Without a budget, retries multiply the load just when endpoints fail from overload.
  *
@@ -27,24 +27,43 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final ReentrantLock lock = new ReentrantLock();
+    private final double perRequest;
+    private final double floorPerSecond;
+    private final double maxSaved;
     private double balance;
     private Instant filledAt;
 
-    private RetryBudget(Instant now) {
+    private RetryBudget(
+            double perRequest, double floor, double maxSaved, double balance, Instant now) {
+        this.perRequest = perRequest;
+        this.floorPerSecond = floor;
+        this.maxSaved = maxSaved;
         this.filledAt = now;
-        this.balance = 1;
+        this.balance = balance;
     }
 
     /** Returns a budget with one retry in it. */
     public static RetryBudget create(Instant now) {
-        return new RetryBudget(now);
+        return new RetryBudget(PER_REQUEST, FLOOR_PER_SECOND, MAX_SAVED, 1, now);
+    }
+
+    /**
+     * Returns this node's share of a budget that all nodes have together. In any span of time it
+     * grants at most {@code saved} retries and {@code perRequest} for each request in the span, so
+     * the shares of all nodes add up to the whole.
+     *
+     * @param perRequest the retries granted for each request of this node
+     * @param saved this node's share of the retries that are granted whatever the traffic
+     */
+    public static RetryBudget createShare(double perRequest, double saved, Instant now) {
+        return new RetryBudget(perRequest, 0, saved, saved, now);
     }
 
     /** Counts a request of the entry. */
     public void onRequest() {
         lock.lock();
         try {
-            balance = Math.min(MAX_SAVED, balance + PER_REQUEST);
+            balance = Math.min(maxSaved, balance + perRequest);
         } finally {
             lock.unlock();
         }
@@ -56,7 +75,7 @@
         try {
             if (now.isAfter(filledAt)) {
                 double seconds = Duration.between(filledAt, now).toNanos() / NANOS_PER_SECOND;
-                balance = Math.min(MAX_SAVED, balance + seconds * FLOOR_PER_SECOND);
+                balance = Math.min(maxSaved, balance + seconds * floorPerSecond);
                 filledAt = now;
             }
             if (balance < 1) {
--- a/core/src/main/java/org/carobdoor/message/PeerMessage.java
+++ b/core/src/main/java/org/carobdoor/message/PeerMessage.java
@@ -2,4 +2,11 @@
 
 /** A message between nodes. The {@code wire} module gives each one its encoding. */
 public sealed interface PeerMessage
-        permits ClaimMessage, LimitMessage, LoadMessage, Ping, Pong, ReplicaMessage, WorkMessage {}
+        permits ClaimMessage,
+                LimitMessage,
+                LoadMessage,
+                NodeMessage,
+                Ping,
+                Pong,
+                ReplicaMessage,
+                WorkMessage {}
--- a/node/src/main/java/org/carobdoor/node/Carobdoord.java
+++ b/node/src/main/java/org/carobdoor/node/Carobdoord.java
@@ -16,12 +16,16 @@
  * <pre>
  * carobdoord --settings node.toml
  * carobdoord --settings node.toml --check
+ * carobdoord --gateway --settings node.toml
  * </pre>
  */
 public final class Carobdoord {
     private static final int EXIT_FAILURE = 1;
     private static final int EXIT_USAGE = 2;
 
+    /** Names the settings file when the command line does not. */
+    static final String SETTINGS_VARIABLE = "CAROBDOOR_SETTINGS";
+
     private Carobdoord() {}
 
     /** Runs the daemon until it is told to stop; exits with 0 after a graceful shutdown. */
@@ -39,6 +43,15 @@
             commander.usage();
             return;
         }
+        if (options.settings.isBlank()) {
+            System.err.println(
+                    "carobdoord: --settings is missing, and " + SETTINGS_VARIABLE + " is not set");
+            System.exit(EXIT_USAGE);
+        }
+        if (options.gateway) {
+            GatewayDaemon.run(Path.of(options.settings), options.check);
+            return;
+        }
         switch (SettingsLoader.load(Path.of(options.settings))) {
             case Result.Err<NodeSettings>(Failure failure) -> {
                 System.err.println(failure.detail());
--- a/node/src/main/java/org/carobdoor/node/DaemonOptions.java
+++ b/node/src/main/java/org/carobdoor/node/DaemonOptions.java
@@ -6,9 +6,15 @@
 final class DaemonOptions {
     @Parameter(
             names = "--settings",
-            required = true,
-            description = "The settings file (TOML), see docs/OPERATIONS.md")
-    String settings = "";
+            description =
+                    "The settings file (TOML), see docs/OPERATIONS.md; without it the file that"
+                            + " CAROBDOOR_SETTINGS names")
+    String settings = System.getenv().getOrDefault(Carobdoord.SETTINGS_VARIABLE, "");
+
+    @Parameter(
+            names = "--gateway",
+            description = "Forward requests between the platform's callers and endpoints")
+    boolean gateway;
 
     @Parameter(names = "--check", description = "Check the settings file and exit")
     boolean check;
--- a/node/src/main/java/org/carobdoor/node/Node.java
+++ b/node/src/main/java/org/carobdoor/node/Node.java
@@ -22,7 +22,7 @@
 import org.carobdoor.node.metrics.NodeMetrics;
 import org.carobdoor.node.model.ModelRequestParser;
 import org.carobdoor.node.settings.NodeSettings;
-import org.carobdoor.platform.catalogue.CatalogueStore;
+import org.carobdoor.clients.catalogue.CatalogueStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/node/src/main/java/org/carobdoor/node/catalogue/CatalogueItems.java
+++ b/node/src/main/java/org/carobdoor/node/catalogue/CatalogueItems.java
@@ -5,10 +5,10 @@
 import org.carobdoor.internal.catalogue.CatalogueEntry;
 import org.carobdoor.message.ReplicaItem;
 import org.carobdoor.node.replica.ReplicaService;
-import org.carobdoor.platform.catalogue.CatalogueStore;
-import org.carobdoor.platform.catalogue.EntryText;
-import org.carobdoor.platform.catalogue.ParsedEntry;
-import org.carobdoor.platform.catalogue.StoredEntry;
+import org.carobdoor.clients.catalogue.CatalogueStore;
+import org.carobdoor.clients.catalogue.EntryText;
+import org.carobdoor.clients.catalogue.ParsedEntry;
+import org.carobdoor.clients.catalogue.StoredEntry;
 
 /** Converts between stored entries, replica items, and entries in force. */
 public final class CatalogueItems {
--- a/node/src/main/java/org/carobdoor/node/endpoint/EndpointFeed.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointFeed.java
@@ -17,10 +17,10 @@
 import org.carobdoor.internal.routing.EndpointImage;
 import org.carobdoor.internal.routing.EndpointView;
 import org.carobdoor.node.metrics.NodeMetrics;
-import org.carobdoor.platform.cloud.CloudClient;
-import org.carobdoor.platform.cloud.NoticeList;
-import org.carobdoor.platform.cloud.ReclaimNotice;
-import org.carobdoor.platform.cloud.VmList;
+import org.carobdoor.clients.cloud.CloudClient;
+import org.carobdoor.clients.cloud.NoticeList;
+import org.carobdoor.clients.cloud.ReclaimNotice;
+import org.carobdoor.clients.cloud.VmList;
 
 /**
  * Reads the platform's list of VMs and its reclaim notices into the view of endpoints, and
--- a/node/src/main/java/org/carobdoor/node/endpoint/EndpointHttp.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointHttp.java
@@ -10,8 +10,8 @@
 import okhttp3.Response;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.platform.http.SendTrace;
-import org.carobdoor.platform.http.SingleAttemptHttp;
+import org.carobdoor.clients.http.SendTrace;
+import org.carobdoor.clients.http.SingleAttemptHttp;
 
 /**
  * The HTTP client towards endpoints. It sends each call at most once: no retries, no redirects.
--- a/node/src/main/java/org/carobdoor/node/endpoint/EngineClient.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EngineClient.java
@@ -14,7 +14,7 @@
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
 import org.carobdoor.internal.endpoint.EndpointRecord;
-import org.carobdoor.platform.http.SendTrace;
+import org.carobdoor.clients.http.SendTrace;
 
 /**
  * Opens token streams at model engines.
--- a/node/src/main/java/org/carobdoor/node/endpoint/ServiceClient.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/ServiceClient.java
@@ -16,7 +16,7 @@
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
 import org.carobdoor.internal.endpoint.EndpointRecord;
-import org.carobdoor.platform.http.SendTrace;
+import org.carobdoor.clients.http.SendTrace;
 
 /**
  * Calls plain services. Each call is sent at most once.
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
@@ -0,0 +1,173 @@
+package org.carobdoor.node.gateway.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.carobdoor.EndpointId;
+import org.carobdoor.Failure;
+import org.carobdoor.Result;
+import org.carobdoor.internal.deployment.Configuration;
+import org.carobdoor.internal.directory.EndpointDirectory;
+import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.store.StoreChange;
+import org.carobdoor.internal.store.StoreItem;
+import org.carobdoor.message.ReplicaItem;
+import org.carobdoor.message.StoreMirror;
+import org.carobdoor.message.StoreMirrorRequest;
+import org.carobdoor.node.gateway.forward.ForwardingState;
+import org.carobdoor.node.gateway.log.DecisionLog;
+import org.carobdoor.platform.ConfigurationDecoder;
+import org.carobdoor.platform.EndpointDecoder;
+import org.carobdoor.platform.StoreKeys;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * This node's copy of the configuration and the endpoints, from the store or from other nodes.
+ *
+ * <p>A configuration is applied only if its revision is higher than that of the one in force, so a
+ * node never goes back. What another node sends counts like what the store sends: both carry the
+ * store's revisions. Belongs to the event loop.
+ */
+final class Mirror {
+    private final EndpointDirectory directory;
+    private final ForwardingState state;
+    private final DecisionLog log;
+    private final Map<String, StoreItem> endpointItems = new HashMap<>();
+    private @Nullable StoreItem configurationItem;
+
+    Mirror(EndpointDirectory directory, ForwardingState state, DecisionLog log) {
+        this.directory = directory;
+        this.state = state;
+        this.log = log;
+    }
+
+    /** Returns the store's revision of the configuration in force; 0 if there is none. */
+    long configurationRevision() {
+        return configurationItem == null ? 0 : configurationItem.revision();
+    }
+
+    /** Returns the store's revision up to which the endpoints are known. */
+    long directoryRevision() {
+        return directory.revision();
+    }
+
+    /** Returns whether the node knows enough to serve. */
+    boolean isReady() {
+        return configurationItem != null && directory.isLoaded();
+    }
+
+    /** Applies a configuration, unless one at least as new is in force. */
+    void applyConfiguration(StoreItem item, String source) {
+        if (item.revision() <= configurationRevision()) {
+            return;
+        }
+        switch (ConfigurationDecoder.decode(item.value())) {
+            case Result.Ok<Configuration>(Configuration c) -> {
+                configurationItem = item;
+                state.configure(c, System.nanoTime());
+                log.line("configuration.applied")
+                        .add("version", c.version())
+                        .add("revision", item.revision())
+                        .add("source", source)
+                        .write();
+            }
+            case Result.Err<Configuration>(Failure f) ->
+                    log.line("configuration.unreadable")
+                            .add("revision", item.revision())
+                            .add("failure", '"' + f.toString() + '"')
+                            .write();
+        }
+    }
+
+    /** Replaces the endpoints by a full list that is current at {@code revision}. */
+    void replaceEndpoints(Collection<StoreItem> items, long revision) {
+        List<EndpointEntry> entries = new ArrayList<>();
+        Map<EndpointId, Long> revisions = new HashMap<>();
+        endpointItems.clear();
+        for (StoreItem item : items) {
+            Optional<EndpointEntry> entry = decode(item);
+            if (entry.isPresent()) {
+                endpointItems.put(item.key(), item);
+                entries.add(entry.get());
+                revisions.put(entry.get().id(), item.revision());
+            }
+        }
+        directory.replaceAll(entries, revisions, revision, System.nanoTime());
+    }
+
+    /** Applies changes of endpoints. */
+    void applyEndpoints(List<StoreChange> changes) {
+        for (StoreChange change : changes) {
+            switch (change) {
+                case StoreChange.Written(StoreItem item) -> {
+                    Optional<EndpointEntry> entry = decode(item);
+                    if (entry.isPresent()) {
+                        endpointItems.put(item.key(), item);
+                        directory.put(entry.get(), item.revision());
+                    }
+                }
+                case StoreChange.Deleted(String key, long revision) -> {
+                    endpointItems.remove(key);
+                    directory.remove(EndpointDecoder.idOf(key), revision, System.nanoTime());
+                }
+            }
+        }
+    }
+
+    /** Returns what another node lacks; empty if it knows as much. */
+    Optional<StoreMirror> answer(StoreMirrorRequest request) {
+        List<ReplicaItem> configuration = new ArrayList<>();
+        if (configurationItem != null
+                && configurationItem.revision() > request.configurationRevision()) {
+            configuration.add(toReplica(configurationItem));
+        }
+        boolean newer = directory.revision() > request.directoryRevision();
+        if (configuration.isEmpty() && !newer) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new StoreMirror(
+                        configuration,
+                        newer ? directory.revision() : 0,
+                        newer
+                                ? endpointItems.values().stream().map(Mirror::toReplica).toList()
+                                : List.of()));
+    }
+
+    /** Applies what another node knows. */
+    void apply(StoreMirror mirror, String from) {
+        for (ReplicaItem i : mirror.configuration()) {
+            if (i.key().equals(StoreKeys.CONFIGURATION)) {
+                applyConfiguration(new StoreItem(i.key(), i.value(), i.revision()), from);
+            }
+        }
+        if (mirror.directoryRevision() > directory.revision()) {
+            List<StoreItem> items =
+                    mirror.endpoints().stream()
+                            .map(i -> new StoreItem(i.key(), i.value(), i.revision()))
+                            .toList();
+            replaceEndpoints(items, mirror.directoryRevision());
+            log.line("endpoints.mirrored")
+                    .add("from", from)
+                    .add("revision", mirror.directoryRevision())
+                    .write();
+        }
+    }
+
+    private Optional<EndpointEntry> decode(StoreItem item) {
+        return switch (EndpointDecoder.decode(item)) {
+            case Result.Ok<EndpointEntry>(EndpointEntry e) -> Optional.of(e);
+            case Result.Err<EndpointEntry>(Failure f) -> {
+                log.line("endpoint.unreadable").add("failure", '"' + f.toString() + '"').write();
+                yield Optional.empty();
+            }
+        };
+    }
+
+    private static ReplicaItem toReplica(StoreItem item) {
+        return new ReplicaItem(item.key(), item.revision(), false, item.value());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
@@ -0,0 +1,34 @@
+package org.carobdoor.node.gateway.control;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.carobdoor.Bytes;
+
+/**
+ * A run of a node as it is listed in the store.
+ *
+ * @param run identifies the run
+ * @param address where it accepts connections of other nodes
+ */
+record PeerAddress(String run, InetSocketAddress address) {
+
+    /** Returns the value of the node's key. */
+    Bytes toValue() {
+        return Bytes.utf8(address.getAddress().getHostAddress() + " " + address.getPort());
+    }
+
+    /** Reads the value of the node's key; empty if it is malformed. */
+    static Optional<PeerAddress> fromValue(String run, Bytes value) {
+        String[] parts = value.toUtf8().split(" ", -1);
+        if (parts.length != 2 || !parts[0].matches("[0-9.]{7,15}") || !parts[1].matches("\\d{1,5}")) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new PeerAddress(run, new InetSocketAddress(parts[0], Integer.parseInt(parts[1]))));
+    }
+
+    /** Returns the name of the node that {@code run} is a run of. */
+    static String nodeOf(String run) {
+        return run.substring(0, Math.max(0, run.lastIndexOf('@')));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -0,0 +1,50 @@
+package org.carobdoor.node.gateway.endpoint;
+
+import io.netty.channel.EventLoop;
+import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.placement.EndpointLoad;
+
+/** An endpoint with its load and this node's connections to it. Belongs to the event loop. */
+public final class Endpoint implements AutoCloseable {
+    private final EndpointLoad load;
+    private final EndpointConnections connections;
+    private boolean gone;
+
+    Endpoint(
+            EventLoop loop,
+            EndpointEntry entry,
+            long memoryTokens,
+            int maxConnections,
+            Runnable connectionOpened) {
+        load = EndpointLoad.create(entry, memoryTokens, System.nanoTime());
+        connections =
+                new EndpointConnections(
+                        loop, entry.address(), maxConnections, load::heard, connectionOpened);
+    }
+
+    /** Returns its load. */
+    public EndpointLoad load() {
+        return load;
+    }
+
+    /** Returns whether it is gone from the directory. */
+    public boolean isGone() {
+        return gone;
+    }
+
+    /** Takes a connection for one send. */
+    public Send openSend(long maxIdleNanos) {
+        return new Send(connections, maxIdleNanos);
+    }
+
+    EndpointConnections connections() {
+        return connections;
+    }
+
+    /** Closes the idle connections; running requests go on. */
+    @Override
+    public void close() {
+        gone = true;
+        connections.close();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -0,0 +1,224 @@
+package org.carobdoor.node.gateway.endpoint;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.carobdoor.EndpointId;
+import org.carobdoor.internal.deployment.Configuration;
+import org.carobdoor.internal.deployment.EngineTraits;
+import org.carobdoor.internal.deployment.Service;
+import org.carobdoor.internal.directory.DirectoryListener;
+import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.placement.EndpointLoad;
+import org.carobdoor.message.EndpointUse;
+import org.carobdoor.node.gateway.log.DecisionLog;
+
+/**
+ * The endpoints of the directory with their load and connections, by service. Belongs to the event
+ * loop.
+ */
+public final class EndpointTable implements DirectoryListener {
+    /** Connections to one endpoint until the configuration tells how many it accepts. */
+    private static final int DEFAULT_MAX_CONNECTIONS = 64;
+
+    /** Share of the connections that an endpoint accepts which the nodes use together. */
+    private static final double CONNECTION_SHARE = 0.9;
+
+    private static final int MIN_CONNECTIONS = 4;
+
+    /** Of more endpoints than this share, ejections are taken for a fault of this node. */
+    private static final double MAX_EJECTED_SHARE = 0.5;
+
+    private final Map<EndpointId, Endpoint> byId = new HashMap<>();
+    private final Map<String, List<EndpointLoad>> byService = new HashMap<>();
+    private final Map<String, Map<String, EndpointUse>> othersUse = new HashMap<>();
+    private final EventLoop loop;
+    private final DecisionLog log;
+    private Optional<Configuration> configuration = Optional.empty();
+    private int nodes = 1;
+    private long connectionsOpened;
+
+    private EndpointTable(EventLoop loop, DecisionLog log) {
+        this.loop = loop;
+        this.log = log;
+    }
+
+    /** Returns an empty table. */
+    public static EndpointTable create(EventLoop loop, DecisionLog log) {
+        return new EndpointTable(loop, log);
+    }
+
+    /** Returns the endpoint {@code id}, if it is in the directory. */
+    public Optional<Endpoint> find(EndpointId id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /** Returns all endpoints. */
+    public Collection<Endpoint> all() {
+        return byId.values();
+    }
+
+    /** Returns the endpoints of {@code service}, accepting or not. */
+    public List<EndpointLoad> ofService(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /**
+     * Returns the endpoints of {@code service} that may get new requests. Ejected endpoints are left
+     * out, unless most of them are ejected.
+     */
+    public List<EndpointLoad> accepting(String service, long nowNanos) {
+        List<EndpointLoad> accepting = new ArrayList<>();
+        List<EndpointLoad> healthy = new ArrayList<>();
+        for (EndpointLoad e : ofService(service)) {
+            if (e.entry().accepting()) {
+                accepting.add(e);
+                if (!e.health().isEjected(nowNanos)) {
+                    healthy.add(e);
+                }
+            }
+        }
+        boolean fewEjected = healthy.size() >= accepting.size() * (1 - MAX_EJECTED_SHARE);
+        return fewEjected && !healthy.isEmpty() ? healthy : accepting;
+    }
+
+    /** Returns the mean failure rate of the endpoints of {@code service}. */
+    public double failureRate(String service) {
+        return ofService(service).stream()
+                .mapToDouble(e -> e.health().failureRate())
+                .average()
+                .orElse(0);
+    }
+
+    /** Returns how many connections to endpoints were opened since the start. */
+    public long connectionsOpened() {
+        return connectionsOpened;
+    }
+
+    /** Applies a configuration and the number of nodes, which bound the connections. */
+    public void configure(Configuration newConfiguration, int nodeCount) {
+        configuration = Optional.of(newConfiguration);
+        nodes = Math.max(1, nodeCount);
+        for (Endpoint e : byId.values()) {
+            e.connections().setMaxOpen(maxConnections(e.load().entry().service()));
+        }
+    }
+
+    /** Replaces the work that a run of another node has at the endpoints. */
+    public void setOthersUse(String run, List<EndpointUse> uses) {
+        Map<String, EndpointUse> byEndpoint = new HashMap<>();
+        uses.forEach(u -> byEndpoint.put(u.endpoint(), u));
+        othersUse.put(run, byEndpoint);
+        refreshOthers();
+    }
+
+    /** Forgets the work of a node that is gone. */
+    public void forgetOther(String run) {
+        if (othersUse.remove(run) != null) {
+            refreshOthers();
+        }
+    }
+
+    /** Returns the work that this node has at the endpoints. */
+    public List<EndpointUse> ownUse() {
+        List<EndpointUse> uses = new ArrayList<>();
+        for (Endpoint e : byId.values()) {
+            EndpointLoad l = e.load();
+            if (l.running() > 0) {
+                uses.add(new EndpointUse(l.entry().id().value(), l.running(), l.unreadTokens()));
+            }
+        }
+        return uses;
+    }
+
+    /** Closes connections that have been idle for too long. */
+    public void sweep(long nowNanos) {
+        byId.values().forEach(e -> e.connections().sweep(nowNanos));
+    }
+
+    @Override
+    public void started(EndpointEntry entry) {
+        Endpoint e =
+                new Endpoint(
+                        loop,
+                        entry,
+                        memoryTokens(entry.service()),
+                        maxConnections(entry.service()),
+                        () -> connectionsOpened++);
+        byId.put(entry.id(), e);
+        byService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(e.load());
+        log.line("endpoint.listed")
+                .add("endpoint", entry.id())
+                .add("service", entry.service())
+                .add("zone", entry.zone())
+                .add("accepting", entry.accepting())
+                .write();
+    }
+
+    @Override
+    public void changed(EndpointEntry before, EndpointEntry after) {
+        Endpoint e = byId.get(after.id());
+        if (e == null) {
+            return;
+        }
+        if (!before.service().equals(after.service())
+                || !before.address().equals(after.address())) {
+            removed(before);
+            started(after);
+            return;
+        }
+        e.load().update(after);
+        if (before.accepting() != after.accepting()) {
+            log.line("endpoint.changed")
+                    .add("endpoint", after.id())
+                    .add("accepting", after.accepting())
+                    .add("leaves_ms", after.leavesInMillis().orElse(-1))
+                    .write();
+        }
+    }
+
+    @Override
+    public void removed(EndpointEntry last) {
+        Endpoint e = byId.remove(last.id());
+        if (e != null) {
+            byService.getOrDefault(last.service(), new ArrayList<>()).remove(e.load());
+            e.close();
+            log.line("endpoint.unlisted").add("endpoint", last.id()).write();
+        }
+    }
+
+    private void refreshOthers() {
+        for (Endpoint e : byId.values()) {
+            int running = 0;
+            long unread = 0;
+            for (Map<String, EndpointUse> uses : othersUse.values()) {
+                EndpointUse u = uses.get(e.load().entry().id().value());
+                if (u != null) {
+                    running += u.running();
+                    unread += u.unreadTokens();
+                }
+            }
+            e.load().setOthers(running, unread);
+        }
+    }
+
+    private long memoryTokens(String service) {
+        return service(service).flatMap(Service::engine).map(EngineTraits::memoryTokens).orElse(0L);
+    }
+
+    private int maxConnections(String service) {
+        int all = service(service).map(Service::maxConnections).orElse(0);
+        if (all <= 0) {
+            return DEFAULT_MAX_CONNECTIONS;
+        }
+        return Math.max(MIN_CONNECTIONS, (int) (all * CONNECTION_SHARE / nodes));
+    }
+
+    private Optional<Service> service(String name) {
+        return configuration.flatMap(c -> c.service(name));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Accounts.java
@@ -0,0 +1,83 @@
+package org.carobdoor.node.gateway.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.carobdoor.ClientAccount;
+import org.carobdoor.internal.deployment.Account;
+import org.carobdoor.internal.deployment.Configuration;
+import org.carobdoor.internal.deployment.QuotaLimit;
+import org.carobdoor.internal.quota.AccountQuota;
+import org.carobdoor.message.AccountUse;
+
+/** The quotas of the configuration's client accounts. Belongs to the event loop. */
+public final class Accounts {
+    private final Map<ClientAccount, AccountQuota> quotas = new HashMap<>();
+    private int nodes = 1;
+
+    /** Returns no quotas. */
+    public static Accounts create() {
+        return new Accounts();
+    }
+
+    private Accounts() {}
+
+    /** Applies the limits of a configuration. */
+    public void configure(Configuration configuration, long nowNanos) {
+        Map<ClientAccount, QuotaLimit> limits = new HashMap<>();
+        for (Account a : configuration.accounts()) {
+            a.quota().ifPresent(q -> limits.put(a.id(), q));
+        }
+        quotas.keySet().retainAll(limits.keySet());
+        limits.forEach(
+                (id, limit) -> {
+                    AccountQuota quota = quotas.get(id);
+                    if (quota == null) {
+                        quota = AccountQuota.create(limit, nowNanos);
+                        quota.setNodes(nodes, nowNanos);
+                        quotas.put(id, quota);
+                    } else {
+                        quota.setLimit(limit, nowNanos);
+                    }
+                });
+    }
+
+    /** Sets the number of nodes that share the quotas. */
+    public void setNodes(int count, long nowNanos) {
+        nodes = count;
+        quotas.values().forEach(q -> q.setNodes(count, nowNanos));
+    }
+
+    /** Returns the quota of {@code account}, if it has one. */
+    public Optional<AccountQuota> quota(ClientAccount account) {
+        return Optional.ofNullable(quotas.get(account));
+    }
+
+    /** Applies what another node has granted. */
+    public void report(String run, List<AccountUse> uses, long nowNanos) {
+        for (AccountUse u : uses) {
+            AccountQuota q = quotas.get(new ClientAccount(u.account()));
+            if (q != null) {
+                q.report(run, u.granted(), u.available(), nowNanos);
+            }
+        }
+    }
+
+    /** Forgets a node that has left. */
+    public void forget(String run) {
+        quotas.values().forEach(q -> q.forget(run));
+    }
+
+    /** Returns what this node has granted. */
+    public List<AccountUse> ownUse(long nowNanos) {
+        List<AccountUse> uses = new ArrayList<>();
+        quotas.forEach(
+                (id, q) ->
+                        uses.add(
+                                new AccountUse(
+                                        id.value(), q.grantedHere(), q.available(nowNanos))));
+        return uses;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -0,0 +1,157 @@
+package org.carobdoor.node.gateway.forward;
+
+import io.netty.channel.EventLoop;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.carobdoor.AvailabilityZone;
+import org.carobdoor.internal.deployment.Configuration;
+import org.carobdoor.internal.duty.UsageCounts;
+import org.carobdoor.internal.retries.RetryBudget;
+import org.carobdoor.node.gateway.endpoint.EndpointTable;
+import org.carobdoor.node.gateway.log.DecisionLog;
+
+/**
+ * What the requests of a node share: the configuration, the endpoints, the quotas and the budgets.
+ * Belongs to the event loop.
+ */
+public final class ForwardingState {
+    /** Keeps this node's share of the saved retries below the whole while nodes come and go. */
+    private static final double SAVED_SHARE = 0.8;
+
+    private final EventLoop loop;
+    private final AvailabilityZone zone;
+    private final EndpointTable endpoints;
+    private final Accounts accounts;
+    private final UsageCounts usage;
+    private final DecisionLog log;
+    private final RequestCounters counters = RequestCounters.create();
+    private final RandomGenerator random;
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final Map<String, Double> workMillis = new HashMap<>();
+    private final double retryShare;
+    private final double retrySaved;
+    private Optional<Configuration> configuration = Optional.empty();
+    private int nodes = 1;
+    private long clockMillis;
+    private long clockAtNanos;
+
+    /**
+     * Creates the state of a node without a configuration.
+     *
+     * @param retryShare the retries that all nodes may send for each request
+     * @param retrySaved the retries that all nodes may send whatever the number of requests
+     */
+    public ForwardingState(
+            EventLoop loop,
+            AvailabilityZone zone,
+            EndpointTable endpoints,
+            Accounts accounts,
+            UsageCounts usage,
+            DecisionLog log,
+            RandomGenerator random,
+            double retryShare,
+            double retrySaved) {
+        this.loop = loop;
+        this.zone = zone;
+        this.endpoints = endpoints;
+        this.accounts = accounts;
+        this.usage = usage;
+        this.log = log;
+        this.random = random;
+        this.retryShare = retryShare;
+        this.retrySaved = retrySaved;
+        this.clockMillis = System.currentTimeMillis();
+        this.clockAtNanos = System.nanoTime();
+    }
+
+    /** Applies a configuration. */
+    public void configure(Configuration newConfiguration, long nowNanos) {
+        configuration = Optional.of(newConfiguration);
+        accounts.configure(newConfiguration, nowNanos);
+        endpoints.configure(newConfiguration, nodes);
+    }
+
+    /** Sets the number of nodes that share quotas, budgets and connections. */
+    public void setNodes(int count, long nowNanos) {
+        if (count == nodes) {
+            return;
+        }
+        nodes = count;
+        accounts.setNodes(count, nowNanos);
+        budgets.clear();
+        configuration.ifPresent(c -> endpoints.configure(c, count));
+    }
+
+    /** Sets the time that most nodes agree on. */
+    public void setClock(long millis, long nowNanos) {
+        clockMillis = millis;
+        clockAtNanos = nowNanos;
+    }
+
+    /** Returns the counters of the requests. */
+    public RequestCounters counters() {
+        return counters;
+    }
+
+    /** Returns the engine time of the requests sent since the start, by service. */
+    public Map<String, Long> workMillis() {
+        Map<String, Long> whole = new HashMap<>();
+        workMillis.forEach((s, ms) -> whole.put(s, Math.round(ms)));
+        return whole;
+    }
+
+    /** Returns the configuration in force, if one is known. */
+    public Optional<Configuration> configuration() {
+        return configuration;
+    }
+
+    /** Returns the endpoints. */
+    public EndpointTable endpoints() {
+        return endpoints;
+    }
+
+    /** Returns the quotas. */
+    public Accounts accounts() {
+        return accounts;
+    }
+
+    /** Returns this node's usage counts. */
+    public UsageCounts usage() {
+        return usage;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    AvailabilityZone zone() {
+        return zone;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    RetryBudget budget(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                s ->
+                        RetryBudget.createShare(
+                                retryShare, retrySaved * SAVED_SHARE / nodes, Instant.now()));
+    }
+
+    void addWork(String service, double millis) {
+        workMillis.merge(service, millis, Double::sum);
+    }
+
+    void countUsage(String account, long nowNanos) {
+        usage.began(account, clockMillis + (nowNanos - clockAtNanos) / 1_000_000L);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerHandler.java
@@ -0,0 +1,258 @@
+package org.carobdoor.node.gateway.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.carobdoor.internal.deployment.CallerLimits;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A caller's connection: reads one whole request at a time and hands it on as an {@link Exchange}.
+ *
+ * <p>A request that cannot be framed without doubt is refused and ends the connection, since the
+ * bytes after it cannot be told apart from its body.
+ */
+final class CallerHandler extends ChannelInboundHandlerAdapter {
+    /** Composite buffers join their parts beyond this number. */
+    private static final int MAX_BODY_PARTS = 64;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final RequestHandler requests;
+    private final FrontServer server;
+    private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    private @Nullable Channel channel;
+    private @Nullable HttpRequest head;
+    private @Nullable CompositeByteBuf body;
+    private @Nullable Exchange exchange;
+    private boolean keepAlive = true;
+    private boolean refused;
+    private long arrivedNanos;
+    private long lastReadNanos;
+    private long partialSinceNanos;
+
+    CallerHandler(FrontServer server, RequestHandler requests) {
+        this.server = server;
+        this.requests = requests;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        lastReadNanos = System.nanoTime();
+        partialSinceNanos = lastReadNanos;
+        server.opened(this);
+    }
+
+    /** Notes that bytes arrived, before they are decoded. */
+    void bytesArrived() {
+        lastReadNanos = System.nanoTime();
+        if (partialSinceNanos == 0 && head == null && exchange == null) {
+            partialSinceNanos = lastReadNanos;
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+        if (refused || !(msg instanceof HttpObject object)) {
+            ReferenceCountUtil.release(msg);
+            return;
+        }
+        if (exchange != null) {
+            // A request behind one that is not answered yet: it waits, and no more is read.
+            pipelined.add(object);
+            ctx.channel().config().setAutoRead(false);
+            return;
+        }
+        read(ctx.channel(), object);
+    }
+
+    private void read(Channel ch, HttpObject object) {
+        if (object.decoderResult().isFailure()) {
+            ReferenceCountUtil.release(object);
+            refuseMalformed(ch, object.decoderResult().cause());
+            return;
+        }
+        if (object instanceof HttpRequest request) {
+            readHead(ch, request);
+        }
+        if (object instanceof HttpContent content && !refused) {
+            readContent(ch, content);
+        } else if (object instanceof HttpContent content) {
+            content.release();
+        }
+    }
+
+    private void readHead(Channel ch, HttpRequest request) {
+        head = request;
+        arrivedNanos = System.nanoTime();
+        keepAlive = HttpUtil.isKeepAlive(request);
+        body = ch.alloc().compositeBuffer(MAX_BODY_PARTS);
+        CallerLimits limits = requests.limits();
+        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+            refuse(ch, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            ch.writeAndFlush(
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void readContent(Channel ch, HttpContent content) {
+        HttpRequest h = head;
+        CompositeByteBuf b = body;
+        if (h == null || b == null) {
+            content.release();
+            return;
+        }
+        ByteBuf part = content.content();
+        if (b.readableBytes() + part.readableBytes() > requests.limits().bodyBytes()) {
+            content.release();
+            refuse(ch, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            return;
+        }
+        if (part.isReadable()) {
+            b.addComponent(true, part);
+        } else {
+            content.release();
+        }
+        if (content instanceof LastHttpContent) {
+            head = null;
+            body = null;
+            partialSinceNanos = 0;
+            Exchange e = new Exchange(this, ch, h, b, arrivedNanos);
+            exchange = e;
+            requests.handle(e);
+        }
+    }
+
+    private void refuseMalformed(Channel ch, Throwable cause) {
+        HttpResponseStatus status =
+                switch (cause) {
+                    case TooLongHttpHeaderException e ->
+                            HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+                    case TooLongHttpLineException e -> HttpResponseStatus.REQUEST_URI_TOO_LONG;
+                    default -> HttpResponseStatus.BAD_REQUEST;
+                };
+        refuse(ch, status);
+    }
+
+    private void refuse(Channel ch, HttpResponseStatus status) {
+        refused = true;
+        releaseBody();
+        DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
+        r.headers().set("Connection", "close").set("Content-Length", 0);
+        server.countMalformed(status.code());
+        ch.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    boolean keepsConnection() {
+        return keepAlive && !requests.isStopping();
+    }
+
+    /** The answer of the current exchange has been written. */
+    void finished(ChannelFuture written) {
+        exchange = null;
+        lastReadNanos = System.nanoTime();
+        if (!keepsConnection()) {
+            refused = true;
+            written.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        Channel ch = written.channel();
+        while (exchange == null && !pipelined.isEmpty() && !refused) {
+            read(ch, pipelined.poll());
+        }
+        if (exchange == null) {
+            ch.config().setAutoRead(true);
+        }
+    }
+
+    /** Closes the connection if the caller takes too long over a request, or is idle. */
+    void sweep(long nowNanos) {
+        Channel ch = channel;
+        if (ch == null || exchange != null || refused) {
+            return;
+        }
+        CallerLimits limits = requests.limits();
+        boolean slowHead =
+                partialSinceNanos != 0
+                        && head == null
+                        && millisSince(partialSinceNanos, nowNanos) > limits.headerTimeoutMillis();
+        boolean idle = millisSince(lastReadNanos, nowNanos) > limits.idleTimeoutMillis();
+        if (head != null && idle) {
+            refuse(ch, HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (slowHead && lastReadNanos != partialSinceNanos) {
+            refuse(ch, HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (idle) {
+            ch.close();
+        }
+    }
+
+    /** Closes the connection if no request is on it. */
+    void closeIfIdle() {
+        Channel ch = channel;
+        if (ch != null && exchange == null && head == null && partialSinceNanos == 0) {
+            ch.close();
+        }
+    }
+
+    boolean isBusy() {
+        return exchange != null || head != null;
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (exchange != null) {
+            exchange.writabilityChanged(ctx.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        server.closed(this);
+        releaseBody();
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+        Exchange e = exchange;
+        exchange = null;
+        if (e != null) {
+            e.callerGone();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        server.countConnectionError(cause);
+        ctx.close();
+    }
+
+    private void releaseBody() {
+        head = null;
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    private static long millisSince(long then, long now) {
+        return (now - then) / NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/FrontServer.java
@@ -0,0 +1,111 @@
+package org.carobdoor.node.gateway.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.carobdoor.node.gateway.log.DecisionLog;
+
+/** Listens for callers and keeps their connections. */
+public final class FrontServer implements AutoCloseable {
+    /** Connections that may wait to be accepted, when callers return at once after an outage. */
+    private static final int BACKLOG = 1024;
+
+    private static final long SWEEP_MILLIS = 500;
+
+    private final Set<CallerHandler> connections = new HashSet<>();
+    private final RequestHandler requests;
+    private final DecisionLog log;
+    private final Channel listener;
+
+    private FrontServer(
+            EventLoopGroup group, InetSocketAddress bind, RequestHandler requests, DecisionLog log) {
+        this.requests = requests;
+        this.log = log;
+        listener =
+                new ServerBootstrap()
+                        .group(group)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(new Initializer())
+                        .bind(bind)
+                        .syncUninterruptibly()
+                        .channel();
+        listener.eventLoop()
+                .scheduleWithFixedDelay(
+                        this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws RuntimeException if the address cannot be bound
+     */
+    public static FrontServer open(
+            EventLoopGroup group, InetSocketAddress bind, RequestHandler requests, DecisionLog log) {
+        return new FrontServer(group, bind, requests, log);
+    }
+
+    /** Returns the number of open connections. */
+    public int connectionCount() {
+        return connections.size();
+    }
+
+    /** Returns the number of connections with a request that is not answered yet. */
+    public long busyCount() {
+        return connections.stream().filter(CallerHandler::isBusy).count();
+    }
+
+    /** Closes the connections that carry no request. */
+    public void closeIdleConnections() {
+        List.copyOf(connections).forEach(CallerHandler::closeIfIdle);
+    }
+
+    void opened(CallerHandler h) {
+        connections.add(h);
+    }
+
+    void closed(CallerHandler h) {
+        connections.remove(h);
+    }
+
+    void countMalformed(int status) {
+        log.line("request.malformed").add("status", status).write();
+    }
+
+    void countConnectionError(Throwable cause) {
+        log.line("caller.connection_error").add("cause", cause.getClass().getSimpleName()).write();
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        List.copyOf(connections).forEach(h -> h.sweep(now));
+    }
+
+    /** Stops to accept connections; open ones stay. */
+    @Override
+    public void close() {
+        listener.close();
+    }
+
+    private final class Initializer extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel ch) {
+            CallerHandler handler = new CallerHandler(FrontServer.this, requests);
+            ch.pipeline()
+                    .addLast(new StrictRequestDecoder(handler, requests.limits().headerBytes()))
+                    .addLast(new HttpResponseEncoder())
+                    .addLast(handler);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/StrictRequestDecoder.java
@@ -0,0 +1,41 @@
+package org.carobdoor.node.gateway.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/**
+ * Decodes requests and refuses those whose length is ambiguous, which a caller could use to smuggle
+ * a second request inside the first.
+ */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+    private static final int MAX_LINE_BYTES = 8 << 10;
+    private static final int MAX_CHUNK_BYTES = 64 << 10;
+
+    private final CallerHandler handler;
+
+    StrictRequestDecoder(CallerHandler handler, int maxHeaderBytes) {
+        super(
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(Math.min(MAX_LINE_BYTES, maxHeaderBytes))
+                        .setMaxHeaderSize(maxHeaderBytes)
+                        .setMaxChunkSize(MAX_CHUNK_BYTES)
+                        .setAllowDuplicateContentLengths(false));
+        this.handler = handler;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
+        if (msg instanceof ByteBuf) {
+            handler.bytesArrived();
+        }
+        super.channelRead(ctx, msg);
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("both Transfer-Encoding and Content-Length are given");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
@@ -0,0 +1,99 @@
+package org.carobdoor.node.gateway.log;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes one line for each decision, as {@code event key=value ...}, and leaves lines out beyond a
+ * rate so that a flood of requests does not become a flood of lines. The number of lines left out is
+ * written with the next line that is written.
+ *
+ * <pre>{@code
+ * log.line("request.refused").add("id", id).add("cause", "saturated").write();
+ * }</pre>
+ *
+ * <p>Belongs to one thread.
+ */
+public final class DecisionLog {
+    /** Lines a second; several times the requests that one VM serves at the sites' peak. */
+    private static final int LINES_PER_SECOND = 150;
+
+    /** Lines that a burst may write on top of the rate. */
+    private static final int BURST_LINES = 300;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final Logger logger = LoggerFactory.getLogger("org.carobdoor.decisions");
+    private final AtomicLong leftOutTotal = new AtomicLong();
+    private double allowed = BURST_LINES;
+    private long filledAtNanos;
+    private long leftOut;
+
+    private DecisionLog(long nowNanos) {
+        filledAtNanos = nowNanos;
+    }
+
+    /** Returns a log that has written nothing. */
+    public static DecisionLog create() {
+        return new DecisionLog(System.nanoTime());
+    }
+
+    /** Starts a line about {@code event}. */
+    public Line line(String event) {
+        return new Line(event);
+    }
+
+    /** Returns how many lines were left out since the start. */
+    public long leftOut() {
+        return leftOutTotal.get();
+    }
+
+    private boolean isAllowed() {
+        long now = System.nanoTime();
+        allowed =
+                Math.min(
+                        BURST_LINES,
+                        allowed + (now - filledAtNanos) / NANOS_PER_SECOND * LINES_PER_SECOND);
+        filledAtNanos = now;
+        if (allowed < 1) {
+            leftOut++;
+            leftOutTotal.incrementAndGet();
+            return false;
+        }
+        allowed--;
+        return true;
+    }
+
+    /** One line under construction. */
+    public final class Line {
+        private final StringBuilder text = new StringBuilder(160);
+
+        private Line(String event) {
+            text.append(event);
+        }
+
+        /** Adds a field. */
+        public Line add(String key, Object value) {
+            text.append(' ').append(key).append('=').append(value);
+            return this;
+        }
+
+        /** Adds a number. */
+        public Line add(String key, long value) {
+            text.append(' ').append(key).append('=').append(value);
+            return this;
+        }
+
+        /** Writes the line, or counts it as left out. */
+        public void write() {
+            if (isAllowed()) {
+                if (leftOut > 0) {
+                    add("left_out", leftOut);
+                    leftOut = 0;
+                }
+                logger.info(text.toString());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
@@ -0,0 +1,23 @@
+package org.carobdoor.node.gateway.settings;
+
+import java.time.Duration;
+
+/**
+ * Bounds that the platform sets for the nodes.
+ *
+ * @param stopGrace the time from the request to stop until the process is killed
+ * @param dutyLease for how long a node that holds the duties may act after its last renewal
+ * @param usageWindow the length of the windows of the usage reports
+ * @param reportsUsage whether usage is to be reported
+ * @param ordersEndpoints whether endpoints are to be ordered
+ * @param retryShare the retries that all nodes may send for each request
+ * @param retrySaved the retries that all nodes may send whatever the number of requests
+ */
+public record GatewayBounds(
+        Duration stopGrace,
+        Duration dutyLease,
+        Duration usageWindow,
+        boolean reportsUsage,
+        boolean ordersEndpoints,
+        double retryShare,
+        double retrySaved) {}
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/package-info.java
@@ -0,0 +1,5 @@
+/** The settings of the daemon on the users' platform. */
+@NullMarked
+package org.carobdoor.node.gateway.settings;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/main/java/org/carobdoor/node/http/AdminRoutes.java
+++ b/node/src/main/java/org/carobdoor/node/http/AdminRoutes.java
@@ -17,12 +17,12 @@
 import org.carobdoor.Failure;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.platform.catalogue.CatalogueList;
-import org.carobdoor.platform.catalogue.CatalogueStore;
-import org.carobdoor.platform.catalogue.EditOutcome;
-import org.carobdoor.platform.catalogue.EntryChange;
-import org.carobdoor.platform.catalogue.EntryProblem;
-import org.carobdoor.platform.catalogue.StoredEntry;
+import org.carobdoor.clients.catalogue.CatalogueList;
+import org.carobdoor.clients.catalogue.CatalogueStore;
+import org.carobdoor.clients.catalogue.EditOutcome;
+import org.carobdoor.clients.catalogue.EntryChange;
+import org.carobdoor.clients.catalogue.EntryProblem;
+import org.carobdoor.clients.catalogue.StoredEntry;
 
 /** The routes of operators. */
 public final class AdminRoutes {
--- a/node/src/main/java/org/carobdoor/node/logging/LogSetup.java
+++ b/node/src/main/java/org/carobdoor/node/logging/LogSetup.java
@@ -1,11 +1,13 @@
 package org.carobdoor.node.logging;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import org.carobdoor.node.settings.LogSettings;
@@ -16,8 +18,33 @@
     private static final String PATTERN =
             "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level %logger{20} %msg%kvp%n%ex{5}";
 
+    private static final String CONSOLE = "console";
+
+    /** Lines that may wait for standard output. */
+    private static final int QUEUED_LINES = 2048;
+
     private LogSetup() {}
 
+    /**
+     * As {@link #apply}, but leaves lines out when standard output does not take them, so that no
+     * caller of the log ever waits.
+     */
+    public static void applyNonBlocking(LogSettings settings) {
+        apply(settings);
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        AsyncAppender async = new AsyncAppender();
+        async.setContext(context);
+        async.setNeverBlock(true);
+        async.setQueueSize(QUEUED_LINES);
+        async.setDiscardingThreshold(0);
+        Appender<ILoggingEvent> console = root.getAppender(CONSOLE);
+        root.detachAppender(console);
+        async.addAppender(console);
+        async.start();
+        root.addAppender(async);
+    }
+
     /** Replaces the log configuration by {@code settings}. */
     public static void apply(LogSettings settings) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
@@ -25,6 +52,7 @@
         Encoder<ILoggingEvent> encoder = encoder(context, settings.json());
         ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
         appender.setContext(context);
+        appender.setName(CONSOLE);
         appender.setEncoder(encoder);
         appender.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
--- a/node/src/main/java/org/carobdoor/node/replica/CatalogueWatch.java
+++ b/node/src/main/java/org/carobdoor/node/replica/CatalogueWatch.java
@@ -17,7 +17,7 @@
 import org.carobdoor.Result;
 import org.carobdoor.ValueList;
 import org.carobdoor.VersionedValue;
-import org.carobdoor.platform.catalogue.CatalogueStore;
+import org.carobdoor.clients.catalogue.CatalogueStore;
 
 /**
  * Follows the catalogue in the key-value service while this node is a watcher, and reads it once at
--- a/node/src/main/java/org/carobdoor/node/settings/SettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/settings/SettingsLoader.java
@@ -14,8 +14,8 @@
 import org.carobdoor.ClientAccount;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.platform.toml.TomlProblems;
-import org.carobdoor.platform.toml.TomlTable;
+import org.carobdoor.clients.toml.TomlProblems;
+import org.carobdoor.clients.toml.TomlTable;
 
 /**
  * Reads and checks a settings file; all problems are reported at once, each with file, line and
--- a/node/src/test/java/org/carobdoor/node/ModuleDependencyTest.java
+++ b/node/src/test/java/org/carobdoor/node/ModuleDependencyTest.java
@@ -24,7 +24,7 @@
                 .dependOnClassesThat()
                 .resideInAnyPackage(
                         "org.carobdoor.wire..",
-                        "org.carobdoor.platform..",
+                        "org.carobdoor.clients..",
                         "org.carobdoor.node..",
                         "org.carobdoor.standins..",
                         "java.nio.channels..",
@@ -41,11 +41,11 @@
                 .resideInAPackage("org.carobdoor.wire..")
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage("org.carobdoor.platform..", "org.carobdoor.node..")
+                .resideInAnyPackage("org.carobdoor.clients..", "org.carobdoor.node..")
                 .check(CLASSES);
         noClasses()
                 .that()
-                .resideInAPackage("org.carobdoor.platform..")
+                .resideInAPackage("org.carobdoor.clients..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("org.carobdoor.wire..", "org.carobdoor.node..")
@@ -57,7 +57,7 @@
         noClasses()
                 .that()
                 .resideInAnyPackage(
-                        "org.carobdoor.wire..", "org.carobdoor.platform..", "org.carobdoor.node..")
+                        "org.carobdoor.wire..", "org.carobdoor.clients..", "org.carobdoor.node..")
                 .should()
                 .dependOnClassesThat()
                 .resideInAPackage("org.carobdoor.standins..")
--- a/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
@@ -20,11 +20,14 @@
 import org.carobdoor.message.ClaimRequest;
 import org.carobdoor.message.ClaimUpdate;
 import org.carobdoor.message.LoadReport;
+import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.PeerMessage;
 import org.carobdoor.message.Ping;
 import org.carobdoor.message.Pong;
 import org.carobdoor.message.ReplicaItems;
 import org.carobdoor.message.ReplicaPull;
+import org.carobdoor.message.StoreMirror;
+import org.carobdoor.message.StoreMirrorRequest;
 import org.carobdoor.message.WorkAck;
 import org.carobdoor.message.WorkCopy;
 import org.carobdoor.message.WorkHandover;
@@ -60,6 +63,9 @@
             case WorkHandover m -> b.setWorkHandover(MessageEncoder.encode(m)).build();
             case WorkRead m -> b.setWorkRead(MessageEncoder.encode(m)).build();
             case WorkReadReply m -> b.setWorkReadReply(MessageEncoder.encode(m)).build();
+            case NodeStatus m -> b.setNodeStatus(StatusCodec.encode(m)).build();
+            case StoreMirrorRequest m -> b.setStoreMirrorRequest(StatusCodec.encode(m)).build();
+            case StoreMirror m -> b.setStoreMirror(StatusCodec.encode(m)).build();
         };
     }
 
@@ -99,6 +105,9 @@
             case WORK_READ ->
                     new WorkRead(e.getWorkRead().getRequestId(), e.getWorkRead().getOffset());
             case WORK_READ_REPLY -> decodeReadReply(e.getWorkReadReply());
+            case NODE_STATUS -> StatusCodec.decode(e.getNodeStatus());
+            case STORE_MIRROR_REQUEST -> StatusCodec.decode(e.getStoreMirrorRequest());
+            case STORE_MIRROR -> StatusCodec.decode(e.getStoreMirror());
             case PAYLOAD_NOT_SET ->
                     throw new IllegalArgumentException("envelope without a known message");
         };
--- a/wire/src/main/java/org/carobdoor/wire/MessageDecoder.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageDecoder.java
@@ -92,16 +92,12 @@
 
     static ReplicaItems decodeItems(MessagesProto.ReplicaItems p) {
         return new ReplicaItems(
-                p.getItemsList().stream()
-                        .map(
-                                i ->
-                                        new ReplicaItem(
-                                                i.getKey(),
-                                                i.getRevision(),
-                                                i.getDeleted(),
-                                                bytes(i.getValue())))
-                        .toList(),
-                p.getRelay());
+                p.getItemsList().stream().map(MessageDecoder::decodeItem).toList(), p.getRelay());
+    }
+
+    static ReplicaItem decodeItem(MessagesProto.ReplicaItem p) {
+        return new ReplicaItem(
+                p.getKey(), p.getRevision(), p.getDeleted(), bytes(p.getValue()));
     }
 
     static WorkCopy decodeWorkCopy(MessagesProto.WorkCopy p) {
--- a/wire/src/main/java/org/carobdoor/wire/MessageEncoder.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageEncoder.java
@@ -143,7 +143,7 @@
                 .build();
     }
 
-    private static MessagesProto.ReplicaItem encode(ReplicaItem m) {
+    static MessagesProto.ReplicaItem encode(ReplicaItem m) {
         return MessagesProto.ReplicaItem.newBuilder()
                 .setKey(m.key())
                 .setRevision(m.revision())
--- /dev/null
+++ b/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
@@ -0,0 +1,96 @@
+package org.carobdoor.wire;
+
+import org.carobdoor.message.AccountUse;
+import org.carobdoor.message.EndpointUse;
+import org.carobdoor.message.NodeStatus;
+import org.carobdoor.message.StoreMirror;
+import org.carobdoor.message.StoreMirrorRequest;
+import org.carobdoor.message.UsageWindow;
+import org.carobdoor.wire.proto.MessagesProto;
+
+/** Converts the messages about nodes and the store to protobuf and back. */
+final class StatusCodec {
+    private StatusCodec() {}
+
+    static MessagesProto.NodeStatus encode(NodeStatus m) {
+        MessagesProto.NodeStatus.Builder b =
+                MessagesProto.NodeStatus.newBuilder()
+                        .setNode(m.node())
+                        .setStartedAt(m.startedAtMillis())
+                        .setZone(m.zone())
+                        .setTime(m.timeMillis())
+                        .setConfigurationRevision(m.configurationRevision())
+                        .setDirectoryRevision(m.directoryRevision())
+                        .setServing(m.serving())
+                        .putAllWorkMillis(m.workMillis());
+        for (AccountUse a : m.accounts()) {
+            b.addAccountsBuilder()
+                    .setAccount(a.account())
+                    .setGranted(a.granted())
+                    .setAvailable(a.available());
+        }
+        for (EndpointUse e : m.endpoints()) {
+            b.addEndpointsBuilder()
+                    .setEndpoint(e.endpoint())
+                    .setRunning(e.running())
+                    .setUnreadTokens(e.unreadTokens());
+        }
+        for (UsageWindow w : m.windows()) {
+            b.addWindowsBuilder().setWindow(w.window()).putAllCounts(w.counts());
+        }
+        return b.build();
+    }
+
+    static NodeStatus decode(MessagesProto.NodeStatus p) {
+        return new NodeStatus(
+                p.getNode(),
+                p.getStartedAt(),
+                p.getZone(),
+                p.getTime(),
+                p.getConfigurationRevision(),
+                p.getDirectoryRevision(),
+                p.getServing(),
+                p.getAccountsList().stream()
+                        .map(a -> new AccountUse(a.getAccount(), a.getGranted(), a.getAvailable()))
+                        .toList(),
+                p.getEndpointsList().stream()
+                        .map(
+                                e ->
+                                        new EndpointUse(
+                                                e.getEndpoint(),
+                                                e.getRunning(),
+                                                e.getUnreadTokens()))
+                        .toList(),
+                p.getWindowsList().stream()
+                        .map(w -> new UsageWindow(w.getWindow(), w.getCountsMap()))
+                        .toList(),
+                p.getWorkMillisMap());
+    }
+
+    static MessagesProto.StoreMirrorRequest encode(StoreMirrorRequest m) {
+        return MessagesProto.StoreMirrorRequest.newBuilder()
+                .setConfigurationRevision(m.configurationRevision())
+                .setDirectoryRevision(m.directoryRevision())
+                .build();
+    }
+
+    static StoreMirrorRequest decode(MessagesProto.StoreMirrorRequest p) {
+        return new StoreMirrorRequest(p.getConfigurationRevision(), p.getDirectoryRevision());
+    }
+
+    static MessagesProto.StoreMirror encode(StoreMirror m) {
+        return MessagesProto.StoreMirror.newBuilder()
+                .addAllConfiguration(
+                        m.configuration().stream().map(MessageEncoder::encode).toList())
+                .setDirectoryRevision(m.directoryRevision())
+                .addAllEndpoints(m.endpoints().stream().map(MessageEncoder::encode).toList())
+                .build();
+    }
+
+    static StoreMirror decode(MessagesProto.StoreMirror p) {
+        return new StoreMirror(
+                p.getConfigurationList().stream().map(MessageDecoder::decodeItem).toList(),
+                p.getDirectoryRevision(),
+                p.getEndpointsList().stream().map(MessageDecoder::decodeItem).toList());
+    }
+}
--- a/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
+++ b/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 import org.carobdoor.Bytes;
 import org.carobdoor.EndpointId;
+import org.carobdoor.message.AccountUse;
 import org.carobdoor.message.AllotmentReply;
 import org.carobdoor.message.AllotmentRequest;
 import org.carobdoor.message.AnswerCopy;
@@ -20,13 +21,18 @@
 import org.carobdoor.message.ClaimReply;
 import org.carobdoor.message.ClaimRequest;
 import org.carobdoor.message.ClaimUpdate;
+import org.carobdoor.message.EndpointUse;
 import org.carobdoor.message.LoadReport;
+import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.PeerMessage;
 import org.carobdoor.message.Ping;
 import org.carobdoor.message.Pong;
 import org.carobdoor.message.ReplicaItem;
 import org.carobdoor.message.ReplicaItems;
 import org.carobdoor.message.ReplicaPull;
+import org.carobdoor.message.StoreMirror;
+import org.carobdoor.message.StoreMirrorRequest;
+import org.carobdoor.message.UsageWindow;
 import org.carobdoor.message.WorkAck;
 import org.carobdoor.message.WorkChunk;
 import org.carobdoor.message.WorkCopy;
@@ -71,7 +77,24 @@
                                     new WorkAck(Map.of("r-1", 3), Map.of("r-1", 2)),
                                     new WorkHandover(List.of("r-1", "r-2")),
                                     new WorkRead("r-1", 9),
-                                    new WorkReadReply(true, 1, 2, 3, "abc", "running")))
+                                    new WorkReadReply(true, 1, 2, 3, "abc", "running"),
+                                    new NodeStatus(
+                                            "front-1",
+                                            5L,
+                                            "zone-a",
+                                            6L,
+                                            7L,
+                                            8L,
+                                            true,
+                                            List.of(new AccountUse("hay", 1.5, -2)),
+                                            List.of(new EndpointUse("i-1", 2, 300L)),
+                                            List.of(new UsageWindow(9L, Map.of("hay", 4L))),
+                                            Map.of("llm", 10L)),
+                                    new StoreMirrorRequest(3L, 4L),
+                                    new StoreMirror(
+                                            List.of(new ReplicaItem("c", 1, false, B)),
+                                            2L,
+                                            List.of(new ReplicaItem("e", 1, false, B)))))
                     .toList();
 
     @Test
