--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -21,7 +21,10 @@
  */
 public final class EngineFleetPolicy {
     /** The share of its time that an engine may work, so that the prompts of a burst wait little. */
-    private static final double TARGET_UTILISATION = 0.42;
+    private static final double TARGET_UTILISATION = 0.6;
+
+    /** Share of the load that must still be carried when the largest zone's engines go at once. */
+    private static final double AFTER_ZONE_LOSS_SHARE = 0.7;
 
     /** Lasting engines stay until the reclaimable ones have served for this long. */
     private static final long SETTLE_NANOS = 3_000_000_000L;
@@ -89,13 +92,17 @@
         int others = Math.max(1, zones.size() - 1);
         int perZone = Math.clamp(ceilDiv(needed, others), bounds.minPerZone(), bounds.maxPerZone());
         int reclaimable = 0;
+        int largestZone = 0;
         for (Map.Entry<AvailabilityZone, ZoneCount> e : zones.entrySet()) {
             reclaimable += e.getValue().reclaimable();
+            largestZone = Math.max(largestZone, e.getValue().reclaimable());
             targets.add(new Target(e.getKey(), true, perZone));
         }
         noteCover(reclaimable >= needed, nowNanos);
         boolean settled = covered && nowNanos - coveredSinceNanos >= SETTLE_NANOS;
-        targets.addAll(lastingTargets(bounds, zones, needed - reclaimable, settled));
+        int reserve = (int) Math.ceil(needed * AFTER_ZONE_LOSS_SHARE) - (reclaimable - largestZone);
+        int missing = Math.max(needed - reclaimable, reserve);
+        targets.addAll(lastingTargets(bounds, zones, missing, settled));
         return targets.stream().filter(t -> isDue(t, zones, nowNanos)).toList();
     }
 
--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -62,15 +62,16 @@
         return new AccountQuota(limit, nowNanos);
     }
 
-    /** Takes {@code units} if the bucket holds any. */
+    /**
+     * Takes {@code units} if the bucket holds any; one request may overdraw it, so that a request
+     * larger than what is left is not kept out by a stream of small ones.
+     */
     public QuotaDecision tryTake(double units, long nowNanos) {
         lock.lock();
         try {
             refill(nowNanos);
-            // A request larger than the whole burst could never pass a stricter comparison.
-            if (available < Math.min(units, limit.burst())) {
-                double missing = Math.min(units, limit.burst()) - available;
-                double seconds = missing / Math.max(limit.perSecond(), 1);
+            if (available <= 0) {
+                double seconds = (units - available) / Math.max(limit.perSecond(), 1);
                 return new QuotaDecision.Exceeded(
                         Math.max(1, Math.round(seconds * MILLIS_PER_SECOND)));
             }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
@@ -42,6 +42,11 @@
     private final Map<String, Integer> initialCount = new HashMap<>();
     private long lastPlanNanos = System.nanoTime();
 
+    /** Work counts as measured once it has arrived for this many plans. */
+    private static final int MEASURED_PLANS = 8;
+
+    private int plansWithWork;
+
     FleetDriver(ForwardingState state, Sender sender, String node, DecisionLog log) {
         this.state = state;
         this.sender = sender;
@@ -84,6 +89,7 @@
             double rate = newWork.getOrDefault(s.name(), 0.0) / seconds;
             double mean = workRate.getOrDefault(s.name(), rate);
             workRate.put(s.name(), mean + NEWEST_WEIGHT * (rate - mean));
+            plansWithWork += rate > 0 ? 1 : 0;
             if (holder) {
                 plan(s, s.fleet().get(), now);
             }
@@ -115,12 +121,8 @@
         }
         double work = workRate.getOrDefault(service.name(), 0.0);
         // Until requests arrive, the number that the operator started with is the best estimate.
-        int initial = initialCount.computeIfAbsent(service.name(), s -> 0);
-        if (initial == 0) {
-            initial = all;
-            initialCount.put(service.name(), all);
-        }
-        int needed = work > 0 ? EngineFleetPolicy.enginesFor(work) : (initial + 1) / 2;
+        int initial = initialCount.merge(service.name(), all, Math::max);
+        int needed = plansWithWork >= MEASURED_PLANS ? EngineFleetPolicy.enginesFor(work) : initial;
         EngineFleetPolicy policy =
                 policies.computeIfAbsent(service.name(), s -> EngineFleetPolicy.create());
         for (EngineFleetPolicy.Target t : policy.plan(bounds, zones, needed, now)) {
