--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
@@ -135,8 +135,10 @@
                         .map(q -> q.tryTake(units, now))
                         .orElse(new QuotaDecision.Granted());
         switch (decision) {
-            case QuotaDecision.Exceeded(long retryAfter) ->
-                    refuse(exchange, request.id(), Refusal.overQuota(retryAfter));
+            case QuotaDecision.Exceeded(long retryAfter) -> {
+                logQuota(request, account, units, now);
+                refuse(exchange, request.id(), Refusal.overQuota(retryAfter));
+            }
             case QuotaDecision.Granted() -> {
                 ForwardedCall call =
                         new ForwardedCall(
@@ -147,6 +149,21 @@
         }
     }
 
+    private void logQuota(
+            CallerRequest request, Optional<Account> account, double units, long now) {
+        account.flatMap(a -> state.accounts().quota(a.id()))
+                .ifPresent(
+                        q ->
+                                state.log()
+                                        .line("quota.exceeded")
+                                        .add("id", request.id())
+                                        .add("account", account.get().id())
+                                        .add("units", Math.round(units))
+                                        .add("available", Math.round(q.available(now)))
+                                        .add("limit", account.get().quota().orElseThrow())
+                                        .write());
+    }
+
     private void refuse(Exchange exchange, String id, Refusal refusal) {
         state.log()
                 .line("request.refused")
