--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -6,13 +6,14 @@
 import org.carobdoor.internal.deployment.QuotaLimit;
 
 /**
- * The quota of one client account as one node sees it: a token bucket from which the node takes its
- * own use at once and the other nodes' use as they report it.
+ * The quota of one client account as one node sees it: what all nodes together have granted in the
+ * window that ends now must stay within the rate times the window plus the burst.
  *
- * <p>Each node reports how much it has granted since its start. A report is late by its interval,
- * so during that time an account can use as much beyond its quota as it asks for. A node that has
- * not reported for {@link #SILENT_NANOS} counts as using an equal share of the rate. A node that is
- * cut off from all others therefore grants only its own share, and so does the other side.
+ * <p>Each node takes its own grants at once and the other nodes' grants as they report them. A
+ * report is late by its interval, so during that time an account can use as much beyond its quota
+ * as it asks for. A node that has not reported for {@link #SILENT_NANOS} counts as using an equal
+ * share. A node that is cut off from all others therefore grants only its own share, and so does
+ * the other side.
  *
  * <p>Load answered: one account sends several times its quota through all nodes at once, or through
  * nodes that cannot reach each other. Safe for use by several threads.
@@ -22,13 +23,13 @@
     public static final long SILENT_NANOS = 1_000_000_000L;
 
     /**
-     * The share of the burst that a new bucket holds. After a restart of all nodes the accounts
-     * have already used their bursts, and a full bucket would grant them a second time.
+     * The share of the quota that counts as used when nothing is known. After a restart of all nodes
+     * the accounts have used an unknown part of it.
      */
-    private static final double INITIAL_SHARE_OF_BURST = 0.25;
+    private static final double USED_AT_START = 0.7;
 
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final double MILLIS_PER_SECOND = 1e3;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private static final class Peer {
         double reported;
@@ -43,39 +44,45 @@
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Map<String, Peer> peers = new HashMap<>();
+    private final UseWindow window;
+    private final double windowSeconds;
     private QuotaLimit limit;
     private int nodes = 1;
-    private double available;
     private double grantedHere;
-    private final long createdAtNanos;
-    private long filledAtNanos;
+    private boolean adopted;
+    private long updatedAtNanos;
 
-    private AccountQuota(QuotaLimit limit, long nowNanos) {
+    private AccountQuota(QuotaLimit limit, long windowNanos, long nowNanos) {
         this.limit = limit;
-        this.available = limit.burst() * INITIAL_SHARE_OF_BURST;
-        this.createdAtNanos = nowNanos;
-        this.filledAtNanos = nowNanos;
+        this.window = new UseWindow(windowNanos, nowNanos);
+        this.windowSeconds = windowNanos / NANOS_PER_SECOND;
+        this.updatedAtNanos = nowNanos;
+        window.spread(allowed() * USED_AT_START);
     }
 
-    /** Returns a quota whose bucket is partly filled. */
-    public static AccountQuota create(QuotaLimit limit, long nowNanos) {
-        return new AccountQuota(limit, nowNanos);
+    /**
+     * Returns a quota most of which counts as used.
+     *
+     * @param windowNanos the length of the window over which use is counted
+     */
+    public static AccountQuota create(QuotaLimit limit, long windowNanos, long nowNanos) {
+        return new AccountQuota(limit, windowNanos, nowNanos);
     }
 
     /**
-     * Takes {@code units} if the bucket holds any; one request may overdraw it, so that a request
+     * Takes {@code units} if any are left; one request may overdraw the quota, so that a request
      * larger than what is left is not kept out by a stream of small ones.
      */
     public QuotaDecision tryTake(double units, long nowNanos) {
         lock.lock();
         try {
-            refill(nowNanos);
-            if (available <= 0) {
-                double seconds = (units - available) / Math.max(limit.perSecond(), 1);
-                return new QuotaDecision.Exceeded(
-                        Math.max(1, Math.round(seconds * MILLIS_PER_SECOND)));
+            update(nowNanos);
+            if (allowed() - window.total() <= 0) {
+                double excess = window.total() + units - allowed();
+                long wait = window.nanosUntilExpired(Math.min(excess, window.total()));
+                return new QuotaDecision.Exceeded(Math.max(1, wait / NANOS_PER_MILLI));
             }
-            available -= units;
+            window.add(units);
             grantedHere += units;
             return new QuotaDecision.Granted();
         } finally {
@@ -87,7 +94,7 @@
     public void giveBack(double units) {
         lock.lock();
         try {
-            available = Math.min(limit.burst(), available + units);
+            window.add(-units);
             grantedHere -= units;
         } finally {
             lock.unlock();
@@ -104,24 +111,23 @@
         }
     }
 
-    /** Returns what the bucket holds now; negative after an overshoot. */
+    /** Returns what is left of the quota now; negative after an overshoot. */
     public double available(long nowNanos) {
         lock.lock();
         try {
-            refill(nowNanos);
-            return available;
+            update(nowNanos);
+            return allowed() - window.total();
         } finally {
             lock.unlock();
         }
     }
 
-    /** Changes the limit; what is available beyond a lower burst lapses at once. */
+    /** Changes the limit; it holds from now on for the whole window that ends now. */
     public void setLimit(QuotaLimit newLimit, long nowNanos) {
         lock.lock();
         try {
-            refill(nowNanos);
+            update(nowNanos);
             limit = newLimit;
-            available = Math.min(available, newLimit.burst());
         } finally {
             lock.unlock();
         }
@@ -131,7 +137,7 @@
     public void setNodes(int count, long nowNanos) {
         lock.lock();
         try {
-            refill(nowNanos);
+            update(nowNanos);
             nodes = Math.max(1, count);
         } finally {
             lock.unlock();
@@ -143,26 +149,29 @@
      *
      * @param peer identifies one run of the other node
      * @param granted what it has granted since its start
-     * @param peerAvailable what its own bucket holds
+     * @param peerAvailable what is left of the quota as it sees it
+     * @param peerKnows whether it has run for at least a window, so that it knows all use
      */
-    public void report(String peer, double granted, double peerAvailable, long nowNanos) {
+    public void report(
+            String peer, double granted, double peerAvailable, boolean peerKnows, long nowNanos) {
         lock.lock();
         try {
-            refill(nowNanos);
+            update(nowNanos);
             Peer known = peers.get(peer);
             if (known == null) {
                 peers.put(peer, new Peer(granted, nowNanos));
-                // A node that has just started knows nothing of earlier use; the others do.
-                if (nowNanos - createdAtNanos < SILENT_NANOS) {
-                    available = Math.min(available, Math.max(peerAvailable, -limit.burst()));
-                }
-                return;
+            } else {
+                window.add(granted - known.reported - known.assumed);
+                known.reported = granted;
+                known.assumed = 0;
+                known.heardAtNanos = nowNanos;
+            }
+            if (peerKnows && !adopted) {
+                // This node knows nothing of the use before its start; the other one does.
+                adopted = true;
+                window.clear();
+                window.spread(allowed() - peerAvailable);
             }
-            available -= granted - known.reported - known.assumed;
-            available = Math.min(available, limit.burst());
-            known.reported = granted;
-            known.assumed = 0;
-            known.heardAtNanos = nowNanos;
         } finally {
             lock.unlock();
         }
@@ -178,14 +187,15 @@
         }
     }
 
-    private void refill(long nowNanos) {
-        double seconds = Math.max(0, nowNanos - filledAtNanos) / NANOS_PER_SECOND;
-        if (seconds <= 0) {
-            return;
-        }
-        filledAtNanos = nowNanos;
-        double gain = seconds * limit.perSecond();
-        double share = gain / nodes;
+    private double allowed() {
+        return limit.perSecond() * windowSeconds + limit.burst();
+    }
+
+    private void update(long nowNanos) {
+        double seconds = Math.max(0, nowNanos - updatedAtNanos) / NANOS_PER_SECOND;
+        updatedAtNanos = Math.max(updatedAtNanos, nowNanos);
+        adopted |= window.advance(nowNanos);
+        double share = allowed() / windowSeconds * seconds / nodes;
         int heard = 0;
         for (Peer p : peers.values()) {
             if (nowNanos - p.heardAtNanos < SILENT_NANOS) {
@@ -194,7 +204,6 @@
                 p.assumed += share;
             }
         }
-        int silent = Math.max(0, nodes - 1 - heard);
-        available = Math.min(limit.burst(), available + gain - silent * share);
+        window.add(share * Math.max(0, nodes - 1 - heard));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/quota/UseWindow.java
@@ -0,0 +1,75 @@
+package org.carobdoor.internal.quota;
+
+import java.util.Arrays;
+
+/** The units used in a window of time that ends now, kept in slices that expire one by one. */
+final class UseWindow {
+    /** Slices of a window; the use of a slice expires at once. */
+    private static final int SLICES = 64;
+
+    private final double[] used = new double[SLICES];
+    private final long sliceNanos;
+    private final long firstNanos;
+    private long slice;
+    private double total;
+
+    UseWindow(long windowNanos, long nowNanos) {
+        sliceNanos = Math.max(1, windowNanos / (SLICES - 1));
+        firstNanos = nowNanos;
+    }
+
+    /** Moves the window on; returns whether it has moved by its whole length since the start. */
+    boolean advance(long nowNanos) {
+        long target = (nowNanos - firstNanos) / sliceNanos;
+        if (target - slice >= SLICES) {
+            clear();
+            slice = target;
+        }
+        while (slice < target) {
+            slice++;
+            int i = index(slice);
+            total -= used[i];
+            used[i] = 0;
+        }
+        return target >= SLICES;
+    }
+
+    double total() {
+        return total;
+    }
+
+    /** Adds use of now; a negative number takes use back. */
+    void add(double units) {
+        used[index(slice)] += units;
+        total += units;
+    }
+
+    /** Adds use as if it had been spread evenly over the window. */
+    void spread(double units) {
+        for (int i = 0; i < SLICES; i++) {
+            used[i] += units / SLICES;
+        }
+        total += units;
+    }
+
+    void clear() {
+        Arrays.fill(used, 0);
+        total = 0;
+    }
+
+    /** Returns the time until {@code units} of the present use will have expired. */
+    long nanosUntilExpired(double units) {
+        double expired = 0;
+        for (int n = 1; n <= SLICES; n++) {
+            expired += used[index(slice + n)];
+            if (expired >= units) {
+                return n * sliceNanos;
+            }
+        }
+        return SLICES * sliceNanos;
+    }
+
+    private static int index(long slice) {
+        return (int) Math.floorMod(slice, (long) SLICES);
+    }
+}
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -79,7 +79,7 @@
                         loop,
                         settings.zone(),
                         endpoints,
-                        Accounts.create(),
+                        Accounts.create(settings.bounds().quotaWindow().toNanos()),
                         UsageCounts.create(settings.bounds().usageWindow().toMillis()),
                         log,
                         random,
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -217,7 +217,8 @@
     public void status(NodeStatus m) {
         long now = System.nanoTime();
         clock.report(m.run(), m.timeMillis(), now);
-        state.accounts().report(m.run(), m.accounts(), now);
+        long age = m.timeMillis() - m.startedAtMillis();
+        state.accounts().report(m.run(), m.accounts(), age, now);
         state.endpoints().setOthersUse(m.run(), m.endpoints());
         m.windows().forEach(w -> usage.report(m.run(), w.window(), w.counts()));
         if (duties != null) {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
@@ -26,8 +26,8 @@
         long fence();
     }
 
-    /** Weight of the newest second in the mean of the work that arrives. */
-    private static final double NEWEST_WEIGHT = 0.3;
+    /** Weight of the newest half second in the mean of the work that arrives. */
+    private static final double NEWEST_WEIGHT = 0.12;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -42,10 +42,17 @@
     private final Map<String, Integer> initialCount = new HashMap<>();
     private long lastPlanNanos = System.nanoTime();
 
+    private static final int PLANS_PER_LINE = 4;
+
     /** Work counts as measured once it has arrived for this many plans. */
     private static final int MEASURED_PLANS = 8;
 
+    /** Engines given up with each plan while the load falls, so that a lull does not empty a zone. */
+    private static final double DECLINE = 0.1;
+
+    private final Map<String, Double> neededHeld = new HashMap<>();
     private int plansWithWork;
+    private int plans;
 
     FleetDriver(ForwardingState state, Sender sender, String node, DecisionLog log) {
         this.state = state;
@@ -102,11 +109,11 @@
         bounds.zonePrices()
                 .keySet()
                 .forEach(z -> zones.put(z, new EngineFleetPolicy.ZoneCount(0, 0)));
-        int all = 0;
+        int lasting = 0;
         for (EndpointLoad e : state.endpoints().ofService(service.name())) {
             if (e.entry().accepting()) {
                 boolean spot = e.entry().reclaimable();
-                all++;
+                lasting += spot ? 0 : 1;
                 zones.merge(
                         e.entry().zone(),
                         new EngineFleetPolicy.ZoneCount(spot ? 0 : 1, spot ? 1 : 0),
@@ -116,13 +123,21 @@
                                         a.reclaimable() + b.reclaimable()));
             }
         }
-        if (all == 0) {
-            return;
-        }
         double work = workRate.getOrDefault(service.name(), 0.0);
         // Until requests arrive, the number that the operator started with is the best estimate.
-        int initial = initialCount.merge(service.name(), all, Math::max);
-        int needed = plansWithWork >= MEASURED_PLANS ? EngineFleetPolicy.enginesFor(work) : initial;
+        int initial = initialCount.merge(service.name(), lasting, Math::max);
+        int measured = plansWithWork >= MEASURED_PLANS ? EngineFleetPolicy.enginesFor(work) : initial;
+        double held = Math.max(measured, neededHeld.getOrDefault(service.name(), 0.0) - DECLINE);
+        neededHeld.put(service.name(), held);
+        int needed = (int) Math.ceil(held);
+        if (++plans % PLANS_PER_LINE == 0) {
+            log.line("fleet.state")
+                    .add("service", service.name())
+                    .add("zones", '"' + zones.toString() + '"')
+                    .add("needed", needed)
+                    .add("work_ms_per_s", Math.round(work))
+                    .write();
+        }
         EngineFleetPolicy policy =
                 policies.computeIfAbsent(service.name(), s -> EngineFleetPolicy.create());
         for (EngineFleetPolicy.Target t : policy.plan(bounds, zones, needed, now)) {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Accounts.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Accounts.java
@@ -14,15 +14,20 @@
 
 /** The quotas of the configuration's client accounts. Belongs to the event loop. */
 public final class Accounts {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final Map<ClientAccount, AccountQuota> quotas = new HashMap<>();
+    private final long windowNanos;
     private int nodes = 1;
 
-    /** Returns no quotas. */
-    public static Accounts create() {
-        return new Accounts();
+    private Accounts(long windowNanos) {
+        this.windowNanos = windowNanos;
     }
 
-    private Accounts() {}
+    /** Returns no quotas; use will be counted over windows of {@code windowNanos}. */
+    public static Accounts create(long windowNanos) {
+        return new Accounts(windowNanos);
+    }
 
     /** Applies the limits of a configuration. */
     public void configure(Configuration configuration, long nowNanos) {
@@ -35,7 +40,7 @@
                 (id, limit) -> {
                     AccountQuota quota = quotas.get(id);
                     if (quota == null) {
-                        quota = AccountQuota.create(limit, nowNanos);
+                        quota = AccountQuota.create(limit, windowNanos, nowNanos);
                         quota.setNodes(nodes, nowNanos);
                         quotas.put(id, quota);
                     } else {
@@ -55,12 +60,17 @@
         return Optional.ofNullable(quotas.get(account));
     }
 
-    /** Applies what another node has granted. */
-    public void report(String run, List<AccountUse> uses, long nowNanos) {
+    /**
+     * Applies what another node has granted.
+     *
+     * @param ageMillis how long that run of the node has run
+     */
+    public void report(String run, List<AccountUse> uses, long ageMillis, long nowNanos) {
+        boolean knows = ageMillis * NANOS_PER_MILLI > windowNanos;
         for (AccountUse u : uses) {
             AccountQuota q = quotas.get(new ClientAccount(u.account()));
             if (q != null) {
-                q.report(run, u.granted(), u.available(), nowNanos);
+                q.report(run, u.granted(), u.available(), knows, nowNanos);
             }
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
@@ -8,6 +8,7 @@
  * @param stopGrace the time from the request to stop until the process is killed
  * @param dutyLease for how long a node that holds the duties may act after its last renewal
  * @param usageWindow the length of the windows of the usage reports
+ * @param quotaWindow the length of the windows over which quotas are counted
  * @param reportsUsage whether usage is to be reported
  * @param ordersEndpoints whether endpoints are to be ordered
  * @param retryShare the retries that all nodes may send for each request
@@ -17,6 +18,7 @@
         Duration stopGrace,
         Duration dutyLease,
         Duration usageWindow,
+        Duration quotaWindow,
         boolean reportsUsage,
         boolean ordersEndpoints,
         double retryShare,
