--- a/cli/src/main/java/org/carobdoor/cli/EntryCommands.java
+++ b/cli/src/main/java/org/carobdoor/cli/EntryCommands.java
@@ -3,8 +3,8 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.fasterxml.jackson.databind.JsonNode;
-import org.carobdoor.internal.catalogue.CatalogueEntry;
 import org.carobdoor.clients.catalogue.EntryText;
+import org.carobdoor.internal.catalogue.CatalogueEntry;
 
 /** The subcommands of {@code carobdoor entry}. */
 final class EntryCommands {
--- a/cli/src/main/java/org/carobdoor/cli/EntryEdits.java
+++ b/cli/src/main/java/org/carobdoor/cli/EntryEdits.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import org.carobdoor.Result;
-import org.carobdoor.internal.catalogue.CatalogueEntry;
 import org.carobdoor.clients.catalogue.EntryProblem;
 import org.carobdoor.clients.catalogue.EntryText;
 import org.carobdoor.clients.catalogue.ParsedEntry;
+import org.carobdoor.internal.catalogue.CatalogueEntry;
 
 /** What the subcommands that change an entry have in common. */
 final class EntryEdits {
--- a/core/src/main/java/org/carobdoor/internal/deployment/EngineTraits.java
+++ b/core/src/main/java/org/carobdoor/internal/deployment/EngineTraits.java
@@ -10,8 +10,4 @@
  * @param backsUpRuns whether an engine copies a running request to another engine as it grows
  */
 public record EngineTraits(
-        int slots,
-        long memoryTokens,
-        long bytesPerToken,
-        boolean movesRuns,
-        boolean backsUpRuns) {}
+        int slots, long memoryTokens, long bytesPerToken, boolean movesRuns, boolean backsUpRuns) {}
--- a/core/src/main/java/org/carobdoor/internal/duty/ClusterClock.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/ClusterClock.java
@@ -7,8 +7,8 @@
 /**
  * The time of day that most nodes agree on.
  *
- * <p>The clock of day of a VM can jump by seconds, and the steady clock stands still while the VM is
- * suspended. This clock runs with the steady clock and moves to the median of the nodes when it
+ * <p>The clock of day of a VM can jump by seconds, and the steady clock stands still while the VM
+ * is suspended. This clock runs with the steady clock and moves to the median of the nodes when it
  * differs from it by more than {@link #TOLERANCE_MILLIS}. Belongs to one thread.
  */
 public final class ClusterClock {
--- a/core/src/main/java/org/carobdoor/internal/duty/ClusterUsage.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/ClusterUsage.java
@@ -39,6 +39,19 @@
         }
     }
 
+    /** Returns the counts of the windows from {@code first} on, by window and run. */
+    public Map<Long, Map<String, Map<String, Long>>> since(long first) {
+        Map<Long, Map<String, Map<String, Long>>> copy = new TreeMap<>();
+        byWindow.tailMap(first, true)
+                .forEach(
+                        (window, runs) -> {
+                            Map<String, Map<String, Long>> copied = new TreeMap<>();
+                            runs.forEach((run, counts) -> copied.put(run, Map.copyOf(counts)));
+                            copy.put(window, copied);
+                        });
+        return copy;
+    }
+
     /** Returns the counts of {@code window} over all nodes, by account. */
     public Map<String, Long> total(long window) {
         Map<String, Long> total = new TreeMap<>();
--- a/core/src/main/java/org/carobdoor/internal/duty/DutyTenure.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/DutyTenure.java
@@ -124,7 +124,9 @@
     public void unanswered(long nowNanos) {
         stepOpen = false;
         if (phase != Phase.HOLDING) {
-            stepDown(nowNanos);
+            // The lease stays valid: if the write took effect, the store's changes will show it.
+            phase = Phase.OBSERVING;
+            delay(nowNanos);
         } else {
             renewAtNanos = nowNanos + MAX_JITTER_MILLIS * NANOS_PER_MILLI;
         }
@@ -160,7 +162,8 @@
 
     /** Gives the duties up and returns the lease to end, if there is one. */
     public OptionalLong release(long nowNanos) {
-        OptionalLong held = phase == Phase.OBSERVING ? OptionalLong.empty() : OptionalLong.of(lease);
+        OptionalLong held =
+                phase == Phase.OBSERVING ? OptionalLong.empty() : OptionalLong.of(lease);
         eligible = false;
         stepDown(nowNanos);
         return held;
--- a/core/src/main/java/org/carobdoor/internal/duty/UsageReports.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/UsageReports.java
@@ -8,9 +8,9 @@
 /**
  * Decides when the counts of a window are recorded and reported.
  *
- * <p>The counts of a window are written to the store before the first report of it, and every report
- * sends what the store holds. So a report whose outcome is unknown can be sent again, by this holder
- * or a later one, and always has the same counts.
+ * <p>The counts of a window are written to the store before the first report of it, and every
+ * report sends what the store holds. So a report whose outcome is unknown can be sent again, by
+ * this holder or a later one, and always has the same counts.
  *
  * <p>Belongs to one thread.
  */
@@ -18,8 +18,8 @@
     /** Wait after the end of a window for the counts of all nodes, which come each 200 ms. */
     private static final long SETTLE_MILLIS = 2_000;
 
-    /** Longer wait while the counts of some node are missing; well within the due time. */
-    private static final long MISSING_NODE_MILLIS = 5_500;
+    /** Longer wait while the counts of some node are missing; reports are due after ten seconds. */
+    private static final long MISSING_NODE_MILLIS = 8_500;
 
     /** Wait before a report is sent again. */
     private static final long RETRY_MILLIS = 800;
--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -20,12 +20,11 @@
  * thread.
  */
 public final class EngineFleetPolicy {
-    /** The share of its time that an engine may work, so that the prompts of a burst wait little. */
+    /**
+     * The share of its time that an engine may work, so that the prompts of a burst wait little.
+     */
     private static final double TARGET_UTILISATION = 0.6;
 
-    /** Share of the load that must still be carried when the largest zone's engines go at once. */
-    private static final double AFTER_ZONE_LOSS_SHARE = 0.7;
-
     /** Lasting engines are given up when they have not been needed for this long. */
     private static final long SETTLE_NANOS = 3_000_000_000L;
 
@@ -61,6 +60,9 @@
 
     private final Map<Subject, Sent> sent = new HashMap<>();
     private final Map<Subject, Long> unavailableUntilNanos = new HashMap<>();
+    private final Map<AvailabilityZone, Integer> counts = new HashMap<>();
+    private long waveUntilNanos;
+    private boolean reclaimSeen;
     private long surplusSinceNanos;
     private boolean surplus;
 
@@ -84,27 +86,25 @@
      * @param needed the engines that carry the load
      */
     public List<Target> plan(
-            FleetBounds bounds,
-            Map<AvailabilityZone, ZoneCount> zones,
-            int needed,
-            long nowNanos) {
+            FleetBounds bounds, Map<AvailabilityZone, ZoneCount> zones, int needed, long nowNanos) {
         List<Target> targets = new ArrayList<>();
         int others = Math.max(1, zones.size() - 1);
         int perZone = Math.clamp(ceilDiv(needed, others), bounds.minPerZone(), bounds.maxPerZone());
         int reclaimable = 0;
         int lasting = 0;
-        int largestZone = 0;
         for (Map.Entry<AvailabilityZone, ZoneCount> e : zones.entrySet()) {
             ZoneCount z = e.getValue();
             reclaimable += z.reclaimable();
             lasting += z.lasting();
-            largestZone = Math.max(largestZone, z.reclaimable());
+            noteReclaim(e.getKey(), z.reclaimable(), nowNanos);
             // Both kinds share the bound of a zone.
             int room = Math.max(0, bounds.maxPerZone() - z.lasting());
             targets.add(new Target(e.getKey(), true, Math.min(perZone, room)));
         }
-        int reserve = (int) Math.ceil(needed * AFTER_ZONE_LOSS_SHARE) - (reclaimable - largestZone);
-        int missing = Math.max(needed - reclaimable, reserve);
+        boolean wave = reclaimSeen && nowNanos - waveUntilNanos < 0;
+        double trusted = reclaimable * (wave ? TRUST_AFTER_RECLAIM : 1);
+        double essential = needed * TARGET_UTILISATION / LASTING_UTILISATION;
+        int missing = (int) Math.ceil(essential - trusted);
         noteSurplus(lasting > Math.max(0, missing), nowNanos);
         boolean settled = surplus && nowNanos - surplusSinceNanos >= SETTLE_NANOS;
         targets.addAll(lastingTargets(bounds, zones, missing, perZone, settled));
@@ -129,6 +129,17 @@
                 new Subject(t.zone(), t.reclaimable()), nowNanos + UNAVAILABLE_NANOS);
     }
 
+    /** Notes when the reclaimable engines of a zone have gone at once though none were given up. */
+    private void noteReclaim(AvailabilityZone zone, int count, long nowNanos) {
+        Integer before = counts.put(zone, count);
+        Sent order = sent.get(new Subject(zone, true));
+        boolean ordered = order != null && order.count() < (before == null ? 0 : before);
+        if (before != null && before >= 2 && count <= before / 2 && !ordered) {
+            reclaimSeen = true;
+            waveUntilNanos = nowNanos + RECLAIM_WAVE_NANOS;
+        }
+    }
+
     private void noteSurplus(boolean now, long nowNanos) {
         if (now && !surplus) {
             surplusSinceNanos = nowNanos;
@@ -157,9 +168,7 @@
             for (Map.Entry<AvailabilityZone, ZoneCount> e : byPrice) {
                 // Both kinds share the bound, so lasting ones leave room for one to be replaced.
                 int reserved =
-                        Math.max(
-                                e.getValue().reclaimable(),
-                                Math.min(1, reclaimablePerZone));
+                        Math.max(e.getValue().reclaimable(), Math.min(1, reclaimablePerZone));
                 int taken = reserved + wanted.getOrDefault(e.getKey(), 0);
                 if (left > 0 && taken < bounds.maxPerZone()) {
                     wanted.merge(e.getKey(), 1, Integer::sum);
@@ -181,8 +190,7 @@
         return targets;
     }
 
-    private boolean isDue(
-            Target t, Map<AvailabilityZone, ZoneCount> zones, long nowNanos) {
+    private boolean isDue(Target t, Map<AvailabilityZone, ZoneCount> zones, long nowNanos) {
         ZoneCount z = zones.getOrDefault(t.zone(), new ZoneCount(0, 0));
         int present = t.reclaimable() ? z.reclaimable() : z.lasting();
         Subject subject = new Subject(t.zone(), t.reclaimable());
--- a/core/src/main/java/org/carobdoor/internal/health/package-info.java
+++ b/core/src/main/java/org/carobdoor/internal/health/package-info.java
@@ -1,4 +1,6 @@
-/** Finds endpoints that fail while they claim to be well, from the outcomes of ordinary requests. */
+/**
+ * Finds endpoints that fail while they claim to be well, from the outcomes of ordinary requests.
+ */
 @NullMarked
 package org.carobdoor.internal.health;
 
--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -23,8 +23,8 @@
     public static final long SILENT_NANOS = 1_000_000_000L;
 
     /**
-     * The share of the quota that counts as used when nothing is known. After a restart of all nodes
-     * the accounts have used an unknown part of it.
+     * The share of the quota that counts as used when nothing is known. After a restart of all
+     * nodes the accounts have used an unknown part of it.
      */
     private static final double USED_AT_START = 0.7;
 
@@ -204,6 +204,6 @@
                 p.assumed += share;
             }
         }
-        window.add(share * Math.max(0, nodes - 1 - heard));
+        window.addSpread(share * Math.max(0, nodes - 1 - heard), seconds * NANOS_PER_SECOND);
     }
 }
--- a/core/src/main/java/org/carobdoor/internal/quota/UseWindow.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/UseWindow.java
@@ -44,6 +44,16 @@
         total += units;
     }
 
+    /** Adds use that was spread evenly over the last {@code nanos}; leaves out what has expired. */
+    void addSpread(double units, double nanos) {
+        long slices = Math.max(1, Math.round(nanos / sliceNanos));
+        int kept = (int) Math.min(slices, SLICES);
+        for (int i = 0; i < kept; i++) {
+            used[index(slice - i)] += units / slices;
+            total += units / slices;
+        }
+    }
+
     /** Adds use as if it had been spread evenly over the window. */
     void spread(double units) {
         for (int i = 0; i < SLICES; i++) {
--- a/node/src/main/java/org/carobdoor/node/Node.java
+++ b/node/src/main/java/org/carobdoor/node/Node.java
@@ -9,6 +9,7 @@
 import java.util.HexFormat;
 import org.carobdoor.NodeId;
 import org.carobdoor.Result;
+import org.carobdoor.clients.catalogue.CatalogueStore;
 import org.carobdoor.internal.MonotonicInstantSource;
 import org.carobdoor.node.http.AcceptedRoutes;
 import org.carobdoor.node.http.AdminRoutes;
@@ -22,7 +23,6 @@
 import org.carobdoor.node.metrics.NodeMetrics;
 import org.carobdoor.node.model.ModelRequestParser;
 import org.carobdoor.node.settings.NodeSettings;
-import org.carobdoor.clients.catalogue.CatalogueStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/node/src/main/java/org/carobdoor/node/catalogue/CatalogueItems.java
+++ b/node/src/main/java/org/carobdoor/node/catalogue/CatalogueItems.java
@@ -2,13 +2,13 @@
 
 import java.util.List;
 import org.carobdoor.VersionedValue;
-import org.carobdoor.internal.catalogue.CatalogueEntry;
-import org.carobdoor.message.ReplicaItem;
-import org.carobdoor.node.replica.ReplicaService;
 import org.carobdoor.clients.catalogue.CatalogueStore;
 import org.carobdoor.clients.catalogue.EntryText;
 import org.carobdoor.clients.catalogue.ParsedEntry;
 import org.carobdoor.clients.catalogue.StoredEntry;
+import org.carobdoor.internal.catalogue.CatalogueEntry;
+import org.carobdoor.message.ReplicaItem;
+import org.carobdoor.node.replica.ReplicaService;
 
 /** Converts between stored entries, replica items, and entries in force. */
 public final class CatalogueItems {
--- a/node/src/main/java/org/carobdoor/node/endpoint/EndpointFeed.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointFeed.java
@@ -12,15 +12,15 @@
 import java.util.function.Consumer;
 import org.carobdoor.EndpointId;
 import org.carobdoor.Result;
+import org.carobdoor.clients.cloud.CloudClient;
+import org.carobdoor.clients.cloud.NoticeList;
+import org.carobdoor.clients.cloud.ReclaimNotice;
+import org.carobdoor.clients.cloud.VmList;
 import org.carobdoor.internal.endpoint.EndpointRecord;
 import org.carobdoor.internal.endpoint.EndpointState;
 import org.carobdoor.internal.routing.EndpointImage;
 import org.carobdoor.internal.routing.EndpointView;
 import org.carobdoor.node.metrics.NodeMetrics;
-import org.carobdoor.clients.cloud.CloudClient;
-import org.carobdoor.clients.cloud.NoticeList;
-import org.carobdoor.clients.cloud.ReclaimNotice;
-import org.carobdoor.clients.cloud.VmList;
 
 /**
  * Reads the platform's list of VMs and its reclaim notices into the view of endpoints, and
--- a/node/src/main/java/org/carobdoor/node/endpoint/EngineClient.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EngineClient.java
@@ -13,8 +13,8 @@
 import okhttp3.Response;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.internal.endpoint.EndpointRecord;
 import org.carobdoor.clients.http.SendTrace;
+import org.carobdoor.internal.endpoint.EndpointRecord;
 
 /**
  * Opens token streams at model engines.
--- a/node/src/main/java/org/carobdoor/node/endpoint/ServiceClient.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/ServiceClient.java
@@ -15,8 +15,8 @@
 import org.carobdoor.Bytes;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.internal.endpoint.EndpointRecord;
 import org.carobdoor.clients.http.SendTrace;
+import org.carobdoor.internal.endpoint.EndpointRecord;
 
 /**
  * Calls plain services. Each call is sent at most once.
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -122,8 +122,7 @@
         try {
             return Result.ok(new Gateway(settings));
         } catch (RuntimeException e) {
-            return Result.err(
-                    FailureKind.NOT_DONE, "gateway.start", "local", settings + ": " + e);
+            return Result.err(FailureKind.NOT_DONE, "gateway.start", "local", settings + ": " + e);
         }
     }
 
@@ -159,8 +158,7 @@
                 break;
             }
         }
-        loop.execute(
-                () -> log.line("node.stopped").add("open", forwarder.openCalls()).write());
+        loop.execute(() -> log.line("node.stopped").add("open", forwarder.openCalls()).write());
     }
 
     private boolean isIdle() throws InterruptedException {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -24,8 +23,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Keeps a node in step with the store and the other nodes, and runs the duties. Belongs to the event
- * loop.
+ * Keeps a node in step with the store and the other nodes, and runs the duties. Belongs to the
+ * event loop.
  */
 public final class ControlLoop implements Peers.Listener, AutoCloseable {
     /** A watch that is silent for longer is replaced; other nodes tell of changes meanwhile. */
@@ -85,6 +84,7 @@
                         network,
                         mirror,
                         new PeerAddress(run, settings.peer()),
+                        settings.zone(),
                         this::status,
                         this::isDirectoryStale,
                         this,
@@ -185,6 +185,7 @@
         long now = System.nanoTime();
         directory.expire(now);
         state.endpoints().sweep(now);
+        state.endpoints().setSilentZones(peers.silentZones());
         state.setNodes(peers.nodeCount(), now);
         state.setClock(clock.millis(now), now);
         ownWindows().forEach(w -> usage.report(run, w.window(), w.counts()));
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
@@ -33,6 +33,13 @@
 final class Duties implements FleetDriver.Sender {
     private static final long TICK_MILLIS = 200;
     private static final long FLEET_TICK_MILLIS = 500;
+
+    /** How much of the counts may be lost when all processes stop at once. */
+    private static final long OPEN_SAVE_NANOS = 1_000_000_000L;
+
+    /** Windows that may not be reported yet: reports are due two windows after the end. */
+    private static final int OPEN_WINDOWS = 3;
+
     private static final long CLOUD_TIMEOUT_MILLIS = 1_500;
 
     private final EventLoop loop;
@@ -40,6 +47,7 @@
     private final PlatformClient cloud;
     private final DutyTenure tenure;
     private final UsageReports reports;
+    private final UsageCounts windows;
     private final ClusterUsage usage;
     private final FleetDriver fleet;
     private final GatewayBounds bounds;
@@ -49,6 +57,8 @@
     private final BooleanSupplier allNodesHeard;
     private final DecisionLog log;
     private long usageRevision;
+    private long openSavedNanos;
+    private boolean openUsageRead;
     private boolean usageKnown;
     private boolean usageStepOpen;
     private boolean wasHolder;
@@ -71,6 +81,7 @@
         this.store = store;
         this.cloud = new PlatformClient(loop, cloudAddress);
         this.tenure = tenure;
+        this.windows = windows;
         this.reports = UsageReports.create(windows);
         this.usage = usage;
         this.fleet = new FleetDriver(state, this, node, log);
@@ -141,12 +152,52 @@
         if (holder != wasHolder) {
             wasHolder = holder;
             log.line(holder ? "duty.taken" : "duty.lost").add("fence", tenure.fence()).write();
+            if (holder) {
+                readOpenUsage();
+            }
+        }
+        if (holder
+                && bounds.reportsUsage()
+                && System.nanoTime() - openSavedNanos > OPEN_SAVE_NANOS) {
+            saveOpenUsage();
         }
-        if (holder && bounds.reportsUsage() && usageKnown && !usageStepOpen) {
+        if (holder && bounds.reportsUsage() && usageKnown && openUsageRead && !usageStepOpen) {
             perform(reports.next(usage, allNodesHeard.getAsBoolean(), clusterMillis.getAsLong()));
         }
     }
 
+    /** Reads the counts that an earlier holder saved; nodes may have stopped since. */
+    private void readOpenUsage() {
+        openUsageRead = false;
+        store.range(
+                OwnKeys.OPEN_USAGE,
+                "",
+                answer -> {
+                    if (answer instanceof StoreAnswer.Page page) {
+                        openUsageRead = true;
+                        page.items().forEach(i -> UsageRecord.decodeOpen(i.value(), usage));
+                    } else if (isHolder()) {
+                        loop.schedule(this::readOpenUsage, TICK_MILLIS, TimeUnit.MILLISECONDS);
+                    }
+                });
+    }
+
+    /** Saves the counts of the last windows, so that they outlive all processes. */
+    private void saveOpenUsage() {
+        if (!openUsageRead) {
+            return;
+        }
+        openSavedNanos = System.nanoTime();
+        long first = windows.windowAt(clusterMillis.getAsLong()) - OPEN_WINDOWS;
+        Bytes value = UsageRecord.encodeOpen(usage.since(first));
+        if (value.size() == 0) {
+            return;
+        }
+        // A lost save is made up for by the next one.
+        store.write(
+                Map.of(OwnKeys.DUTY, tenure.fence()), OwnKeys.OPEN_USAGE, value, 0, answer -> {});
+    }
+
     private void perform(DutyStep step) {
         switch (step) {
             case DutyStep.Wait w -> {}
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
@@ -50,8 +50,10 @@
     /** Work counts as measured once it has arrived for this many plans. */
     private static final int MEASURED_PLANS = 8;
 
-    /** Engines given up with each plan while the load falls, so that a lull does not empty a zone. */
-    private static final double DECLINE = 0.1;
+    /**
+     * Engines given up with each plan while the load falls, so that a lull does not empty a zone.
+     */
+    private static final double DECLINE = 0.4;
 
     private final Map<String, Double> neededHeld = new HashMap<>();
     private int plansWithWork;
@@ -130,7 +132,8 @@
         double work = workRate.getOrDefault(service.name(), 0.0);
         // Until requests arrive, the number that the operator started with is the best estimate.
         int initial = initialCount.merge(service.name(), lasting, Math::max);
-        int measured = plansWithWork >= MEASURED_PLANS ? EngineFleetPolicy.enginesFor(work) : initial;
+        int measured =
+                plansWithWork >= MEASURED_PLANS ? EngineFleetPolicy.enginesFor(work) : initial;
         double held = Math.max(measured, neededHeld.getOrDefault(service.name(), 0.0) - DECLINE);
         neededHeld.put(service.name(), held);
         int needed = (int) Math.ceil(held);
@@ -165,8 +168,7 @@
         policy.ordered(t, bounds, System.nanoTime());
         long fence = sender.fence();
         HttpCall call =
-                CloudCalls.scale(
-                        node, fence, service.name(), t.zone(), t.reclaimable(), t.count());
+                CloudCalls.scale(node, fence, service.name(), t.zone(), t.reclaimable(), t.count());
         sender.send(
                 call,
                 outcome -> {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/OwnKeys.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/OwnKeys.java
@@ -14,5 +14,11 @@
     /** Holds the usage counts that have been or may have been reported. */
     static final String USAGE = PREFIX + "usage";
 
+    /**
+     * Holds the counts of windows that are not reported yet, for a new holder after all nodes have
+     * stopped. Not below {@link #PREFIX}, so that no node is woken by its writes.
+     */
+    static final String OPEN_USAGE = "carobdoor-open-usage";
+
     private OwnKeys() {}
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
@@ -20,7 +20,9 @@
     /** Reads the value of the node's key; empty if it is malformed. */
     static Optional<PeerAddress> fromValue(String run, Bytes value) {
         String[] parts = value.toUtf8().split(" ", -1);
-        if (parts.length != 2 || !parts[0].matches("[0-9.]{7,15}") || !parts[1].matches("\\d{1,5}")) {
+        if (parts.length != 2
+                || !parts[0].matches("[0-9.]{7,15}")
+                || !parts[1].matches("\\d{1,5}")) {
             return Optional.empty();
         }
         return Optional.of(
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.carobdoor.AvailabilityZone;
 import org.carobdoor.NodeId;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.message.NodeStatus;
@@ -40,6 +41,9 @@
     private static final long RETRY_MILLIS = 500;
     private static final long HEARD_NANOS = 3_000_000_000L;
 
+    /** Three statuses of each node of a zone are missing: the zone is cut off, or all are gone. */
+    private static final long ZONE_SILENT_NANOS = 650_000_000L;
+
     /** The status interval of a small group; it grows so that a node's messages stay bounded. */
     private static final long MIN_STATUS_MILLIS = 200;
 
@@ -59,6 +63,8 @@
     private final DecisionLog log;
     private final Map<NodeId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
     private final Map<String, Long> heardAtNanos = new HashMap<>();
+    private final Map<String, AvailabilityZone> zones = new HashMap<>();
+    private final AvailabilityZone ownZone;
     private final Supplier<NodeStatus> status;
     private final BooleanSupplier directoryStale;
     private long lease;
@@ -71,6 +77,7 @@
             TcpPeerNetwork network,
             Mirror mirror,
             PeerAddress self,
+            AvailabilityZone ownZone,
             Supplier<NodeStatus> status,
             BooleanSupplier directoryStale,
             Listener listener,
@@ -80,6 +87,7 @@
         this.network = network;
         this.mirror = mirror;
         this.self = self;
+        this.ownZone = ownZone;
         this.run = self.run();
         this.status = status;
         this.directoryStale = directoryStale;
@@ -145,6 +153,22 @@
         }
     }
 
+    /** Returns the zones of other nodes, none of whose nodes has been heard lately. */
+    Set<AvailabilityZone> silentZones() {
+        long now = System.nanoTime();
+        long silence = ZONE_SILENT_NANOS + STATUS_MILLIS_PER_NODE * 1_000_000L * addresses.size();
+        Set<AvailabilityZone> silent = new HashSet<>();
+        Set<AvailabilityZone> heard = new HashSet<>();
+        zones.forEach(
+                (peerRun, zone) -> {
+                    Long at = heardAtNanos.get(peerRun);
+                    (at != null && now - at < silence ? heard : silent).add(zone);
+                });
+        silent.removeAll(heard);
+        silent.remove(ownZone);
+        return silent;
+    }
+
     /** Returns the number of nodes, this one included. */
     int nodeCount() {
         Set<String> names = new HashSet<>();
@@ -165,6 +189,7 @@
 
     private void forget(String peerRun) {
         heardAtNanos.remove(peerRun);
+        zones.remove(peerRun);
         if (addresses.remove(new NodeId(peerRun)) != null) {
             log.line("peer.gone").add("peer", peerRun).write();
             listener.gone(peerRun);
@@ -173,6 +198,9 @@
 
     private void received(NodeStatus m) {
         heardAtNanos.put(m.run(), System.nanoTime());
+        if (!m.zone().isBlank()) {
+            zones.put(m.run(), new AvailabilityZone(m.zone()));
+        }
         listener.status(m);
         boolean behind =
                 m.configurationRevision() > mirror.configurationRevision()
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Store.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Store.java
@@ -31,11 +31,7 @@
     }
 
     void range(String prefix, String afterKey, Consumer<StoreAnswer> to) {
-        call(
-                StoreCalls.range(prefix, afterKey),
-                CALL_TIMEOUT_MILLIS,
-                StoreReplies::range,
-                to);
+        call(StoreCalls.range(prefix, afterKey), CALL_TIMEOUT_MILLIS, StoreReplies::range, to);
     }
 
     void watch(String prefix, long revision, long waitMillis, Consumer<StoreAnswer> to) {
@@ -60,11 +56,7 @@
     }
 
     void takeLease(long ttlMillis, Consumer<StoreAnswer> to) {
-        call(
-                StoreCalls.takeLease(ttlMillis),
-                CALL_TIMEOUT_MILLIS,
-                StoreReplies::takeLease,
-                to);
+        call(StoreCalls.takeLease(ttlMillis), CALL_TIMEOUT_MILLIS, StoreReplies::takeLease, to);
     }
 
     void renewLease(long lease, Consumer<StoreAnswer> to) {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -107,9 +107,7 @@
                 waitMillis,
                 answer -> {
                     switch (answer) {
-                        case StoreAnswer.Changes(
-                                        List<StoreChange> changes,
-                                        long newRevision) -> {
+                        case StoreAnswer.Changes(List<StoreChange> changes, long newRevision) -> {
                             noteAnswer();
                             revision = Math.max(revision, newRevision);
                             listener.changed(changes, revision);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -20,8 +20,9 @@
  * A connection to an endpoint, which carries one request at a time.
  *
  * <p>It is used again only after an answer that was framed, complete and to the request that was
- * sent, and only if nothing else has arrived on it. Answers to other requests are dropped. An answer
- * without a length is complete when the endpoint closes the connection, not when it is reset.
+ * sent, and only if nothing else has arrived on it. Answers to other requests are dropped. An
+ * answer without a length is complete when the endpoint closes the connection, not when it is
+ * reset.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private final EndpointConnections pool;
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnections.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnections.java
@@ -60,8 +60,7 @@
 
     /** Returns how long a connection may be idle that the endpoint keeps for {@code millis}. */
     static long usableIdleNanos(long millis) {
-        return (long)
-                (Math.min(MAX_IDLE_MILLIS, millis * USABLE_IDLE_SHARE) * NANOS_PER_MILLI);
+        return (long) (Math.min(MAX_IDLE_MILLIS, millis * USABLE_IDLE_SHARE) * NANOS_PER_MILLI);
     }
 
     void setMaxOpen(int max) {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import org.carobdoor.AvailabilityZone;
 import org.carobdoor.EndpointId;
 import org.carobdoor.internal.deployment.Configuration;
 import org.carobdoor.internal.deployment.EngineTraits;
@@ -40,6 +42,7 @@
     private final DecisionLog log;
     private Optional<Configuration> configuration = Optional.empty();
     private int nodes = 1;
+    private Set<AvailabilityZone> silentZones = Set.of();
     private long connectionsOpened;
 
     private EndpointTable(EventLoop loop, DecisionLog log) {
@@ -68,8 +71,8 @@
     }
 
     /**
-     * Returns the endpoints of {@code service} that may get new requests. Ejected endpoints are left
-     * out, unless most of them are ejected.
+     * Returns the endpoints of {@code service} that may get new requests. Ejected endpoints are
+     * left out, unless most of them are ejected.
      */
     public List<EndpointLoad> accepting(String service, long nowNanos) {
         List<EndpointLoad> accepting = new ArrayList<>();
@@ -82,6 +85,11 @@
                 }
             }
         }
+        List<EndpointLoad> reachable =
+                healthy.stream().filter(e -> !silentZones.contains(e.entry().zone())).toList();
+        if (!silentZones.isEmpty() && !reachable.isEmpty()) {
+            return reachable;
+        }
         boolean fewEjected = healthy.size() >= accepting.size() * (1 - MAX_EJECTED_SHARE);
         return fewEjected && !healthy.isEmpty() ? healthy : accepting;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -127,7 +127,8 @@
         this.account = account;
         this.units = units;
         this.open = open;
-        long patience = Math.min(request.waitMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+        long patience =
+                Math.min(request.waitMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
         deadlineNanos = exchange.arrivedNanos() + patience * NANOS_PER_MILLI;
     }
 
@@ -197,7 +198,8 @@
         boolean budget =
                 repeatable
                         && attemptsLeft
-                        && (!countsAsSend || sends == 0
+                        && (!countsAsSend
+                                || sends == 0
                                 || state.budget(service.name()).tryTake(Instant.now()));
         if (budget && connectFailures <= MAX_CONNECT_FAILURES) {
             state.log()
@@ -505,7 +507,8 @@
                 load.promptRead(unreadLeft);
                 unreadLeft = 0;
                 load.learnPace(
-                        (int) (unread + queuedTokens), (now - sentNanos) / (double) NANOS_PER_MILLI);
+                        (int) (unread + queuedTokens),
+                        (now - sentNanos) / (double) NANOS_PER_MILLI);
             }
         }
 
@@ -557,7 +560,8 @@
             record(failed ? SendOutcome.FAILED : SendOutcome.ANSWERED, "status " + a.status());
             countRun(now);
             if (streaming) {
-                // The stream has begun with another endpoint's events: this answer cannot join them.
+                // The stream has begun with another endpoint's events: this answer cannot join
+                // them.
                 releaseBody();
                 fail("not_resumed", BAD_GATEWAY, 0);
                 return;
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
@@ -75,7 +75,9 @@
 
     @Override
     public CallerLimits limits() {
-        return state.configuration().map(Configuration::callerLimits).orElse(CallerLimits.defaults());
+        return state.configuration()
+                .map(Configuration::callerLimits)
+                .orElse(CallerLimits.defaults());
     }
 
     @Override
@@ -171,9 +173,7 @@
                 .add("status", refusal.status())
                 .add("cause", refusal.cause())
                 .add("retry_after_ms", refusal.retryAfterMillis())
-                .add(
-                        "configuration",
-                        state.configuration().map(Configuration::version).orElse(-1L))
+                .add("configuration", state.configuration().map(Configuration::version).orElse(-1L))
                 .write();
         state.counters().ended(Outcome.REFUSED, 0);
         exchange.refuse(refusal);
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerHandler.java
@@ -110,8 +110,7 @@
             refuse(ch, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(request)) {
             ch.writeAndFlush(
-                    new DefaultFullHttpResponse(
-                            HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/front/FrontServer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/FrontServer.java
@@ -27,7 +27,10 @@
     private final Channel listener;
 
     private FrontServer(
-            EventLoopGroup group, InetSocketAddress bind, RequestHandler requests, DecisionLog log) {
+            EventLoopGroup group,
+            InetSocketAddress bind,
+            RequestHandler requests,
+            DecisionLog log) {
         this.requests = requests;
         this.log = log;
         listener =
@@ -52,7 +55,10 @@
      * @throws RuntimeException if the address cannot be bound
      */
     public static FrontServer open(
-            EventLoopGroup group, InetSocketAddress bind, RequestHandler requests, DecisionLog log) {
+            EventLoopGroup group,
+            InetSocketAddress bind,
+            RequestHandler requests,
+            DecisionLog log) {
         return new FrontServer(group, bind, requests, log);
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/front/StatusServer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/StatusServer.java
@@ -44,8 +44,7 @@
                                         ch.pipeline()
                                                 .addLast(new HttpServerCodec())
                                                 .addLast(
-                                                        new HttpObjectAggregator(
-                                                                MAX_REQUEST_BYTES))
+                                                        new HttpObjectAggregator(MAX_REQUEST_BYTES))
                                                 .addLast(new Responder(document));
                                     }
                                 })
--- a/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
@@ -6,8 +6,8 @@
 
 /**
  * Writes one line for each decision, as {@code event key=value ...}, and leaves lines out beyond a
- * rate so that a flood of requests does not become a flood of lines. The number of lines left out is
- * written with the next line that is written.
+ * rate so that a flood of requests does not become a flood of lines. The number of lines left out
+ * is written with the next line that is written.
  *
  * <pre>{@code
  * log.line("request.refused").add("id", id).add("cause", "saturated").write();
--- a/node/src/main/java/org/carobdoor/node/gateway/package-info.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/package-info.java
@@ -1,6 +1,6 @@
 /**
- * The daemon on the users' platform: forwards callers' requests to the endpoints that the platform's
- * store lists.
+ * The daemon on the users' platform: forwards callers' requests to the endpoints that the
+ * platform's store lists.
  *
  * <p>Start reading at {@link org.carobdoor.node.gateway.Gateway}. The way of a request is {@code
  * front} (the caller's connection), {@code forward} (decisions and retries) and {@code endpoint}
--- a/wire/src/main/java/org/carobdoor/wire/MessageDecoder.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageDecoder.java
@@ -96,8 +96,7 @@
     }
 
     static ReplicaItem decodeItem(MessagesProto.ReplicaItem p) {
-        return new ReplicaItem(
-                p.getKey(), p.getRevision(), p.getDeleted(), bytes(p.getValue()));
+        return new ReplicaItem(p.getKey(), p.getRevision(), p.getDeleted(), bytes(p.getValue()));
     }
 
     static WorkCopy decodeWorkCopy(MessagesProto.WorkCopy p) {
