--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -23,7 +23,19 @@
     /**
      * The share of its time that an engine may work, so that the prompts of a burst wait little.
      */
-    private static final double TARGET_UTILISATION = 0.6;
+    private static final double TARGET_UTILISATION = 0.5;
+
+    /** The same for lasting engines, which cost several times as much as reclaimable ones. */
+    private static final double LASTING_UTILISATION = 0.7;
+
+    /**
+     * The share of the reclaimable engines that is counted on after one zone's have been taken
+     * away: the other zones' often follow.
+     */
+    private static final double TRUST_AFTER_RECLAIM = 0.35;
+
+    /** For how long after a zone's reclaimable engines were taken away others may follow. */
+    private static final long RECLAIM_WAVE_NANOS = 12_000_000_000L;
 
     /** Lasting engines are given up when they have not been needed for this long. */
     private static final long SETTLE_NANOS = 3_000_000_000L;
