--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -70,9 +70,17 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Sets the zones whose nodes are not heard, and whose endpoints are likely out of reach too.
+     */
+    public void setSilentZones(Set<AvailabilityZone> zones) {
+        silentZones = Set.copyOf(zones);
+    }
+
     /**
      * Returns the endpoints of {@code service} that may get new requests. Ejected endpoints are
-     * left out, unless most of them are ejected.
+     * left out, unless most of them are ejected; so are those of zones that are cut off, unless
+     * there are no others.
      */
     public List<EndpointLoad> accepting(String service, long nowNanos) {
         List<EndpointLoad> accepting = new ArrayList<>();
