--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -26,7 +26,7 @@
     private static final double TARGET_UTILISATION = 0.5;
 
     /** The same for lasting engines, which cost several times as much as reclaimable ones. */
-    private static final double LASTING_UTILISATION = 0.7;
+    private static final double LASTING_UTILISATION = 0.6;
 
     /**
      * The share of the reclaimable engines that is counted on after one zone's have been taken
@@ -137,6 +137,9 @@
     /** Notes that the engines of an order are not to be had for now. */
     public void unavailable(Target t, long nowNanos) {
         failed(t);
+        if (t.reclaimable()) {
+            noteWave(nowNanos + UNAVAILABLE_NANOS);
+        }
         unavailableUntilNanos.put(
                 new Subject(t.zone(), t.reclaimable()), nowNanos + UNAVAILABLE_NANOS);
     }
@@ -147,8 +150,14 @@
         Sent order = sent.get(new Subject(zone, true));
         boolean ordered = order != null && order.count() < (before == null ? 0 : before);
         if (before != null && before >= 2 && count <= before / 2 && !ordered) {
+            noteWave(nowNanos + RECLAIM_WAVE_NANOS);
+        }
+    }
+
+    private void noteWave(long untilNanos) {
+        if (!reclaimSeen || untilNanos - waveUntilNanos > 0) {
             reclaimSeen = true;
-            waveUntilNanos = nowNanos + RECLAIM_WAVE_NANOS;
+            waveUntilNanos = untilNanos;
         }
     }
 
@@ -211,7 +220,7 @@
             return false;
         }
         Long unavailable = unavailableUntilNanos.get(subject);
-        if (unavailable != null && nowNanos - unavailable < 0 && t.count() > present) {
+        if (unavailable != null && nowNanos - unavailable < 0) {
             return false;
         }
         return last == null || last.count() != t.count() || nowNanos - last.repeatAtNanos() >= 0;
--- a/core/src/main/java/org/carobdoor/internal/health/EndpointHealth.java
+++ b/core/src/main/java/org/carobdoor/internal/health/EndpointHealth.java
@@ -30,6 +30,7 @@
     private int brokenInARow;
     private long nextEjectionNanos = FIRST_EJECTION_NANOS;
     private boolean ejected;
+    private boolean unreachable;
     private long ejectedUntilNanos;
 
     /** Returns the health of an endpoint of which nothing is known. */
@@ -44,6 +45,11 @@
         return failureRate;
     }
 
+    /** Returns whether the endpoint is ejected since no connection to it could be opened. */
+    public boolean isUnreachable(long nowNanos) {
+        return unreachable && isEjected(nowNanos);
+    }
+
     /** Returns whether the endpoint should get no requests now. */
     public boolean isEjected(long nowNanos) {
         return ejected && nowNanos - ejectedUntilNanos < 0;
@@ -68,9 +74,13 @@
                 brokenInARow = 0;
                 nextEjectionNanos = FIRST_EJECTION_NANOS;
                 ejected = false;
+                unreachable = false;
             }
             case BROKEN, TIMED_OUT -> brokenInARow++;
-            case UNREACHABLE -> brokenInARow = BROKEN_IN_A_ROW;
+            case UNREACHABLE -> {
+                brokenInARow = BROKEN_IN_A_ROW;
+                unreachable = true;
+            }
             case FAILED, REJECTED -> {}
         }
         boolean outlier =
--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -26,7 +26,7 @@
      * The share of the quota that counts as used when nothing is known. After a restart of all
      * nodes the accounts have used an unknown part of it.
      */
-    private static final double USED_AT_START = 0.7;
+    private static final double USED_AT_START = 1;
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -46,14 +46,16 @@
     private final Map<String, Peer> peers = new HashMap<>();
     private final UseWindow window;
     private final double windowSeconds;
+    private final double tolerance;
     private QuotaLimit limit;
     private int nodes = 1;
     private double grantedHere;
     private boolean adopted;
     private long updatedAtNanos;
 
-    private AccountQuota(QuotaLimit limit, long windowNanos, long nowNanos) {
+    private AccountQuota(QuotaLimit limit, double tolerance, long windowNanos, long nowNanos) {
         this.limit = limit;
+        this.tolerance = tolerance;
         this.window = new UseWindow(windowNanos, nowNanos);
         this.windowSeconds = windowNanos / NANOS_PER_SECOND;
         this.updatedAtNanos = nowNanos;
@@ -63,10 +65,12 @@
     /**
      * Returns a quota most of which counts as used.
      *
+     * @param tolerance the share of the quota that may be used on top of it
      * @param windowNanos the length of the window over which use is counted
      */
-    public static AccountQuota create(QuotaLimit limit, long windowNanos, long nowNanos) {
-        return new AccountQuota(limit, windowNanos, nowNanos);
+    public static AccountQuota create(
+            QuotaLimit limit, double tolerance, long windowNanos, long nowNanos) {
+        return new AccountQuota(limit, tolerance, windowNanos, nowNanos);
     }
 
     /**
@@ -188,7 +192,7 @@
     }
 
     private double allowed() {
-        return limit.perSecond() * windowSeconds + limit.burst();
+        return (limit.perSecond() * windowSeconds + limit.burst()) * (1 + tolerance);
     }
 
     private void update(long nowNanos) {
--- a/core/src/test/java/org/carobdoor/internal/quota/AccountQuotaTest.java
+++ b/core/src/test/java/org/carobdoor/internal/quota/AccountQuotaTest.java
@@ -17,7 +17,7 @@
 
     @Test
     void grantsWhatTheWindowAllowsAndNoMore() {
-        AccountQuota quota = AccountQuota.create(LIMIT, WINDOW, 0);
+        AccountQuota quota = AccountQuota.create(LIMIT, 0, WINDOW, 0);
         double granted = 0;
         // The assumed earlier use has expired after a window.
         for (int i = 0; i < 200; i++) {
@@ -30,7 +30,7 @@
 
     @Test
     void retryAfterIsWhenTheUnitsAreFree() {
-        AccountQuota quota = AccountQuota.create(LIMIT, WINDOW, 0);
+        AccountQuota quota = AccountQuota.create(LIMIT, 0, WINDOW, 0);
         long now = 9 * SECOND;
         while (quota.tryTake(1000, now) instanceof QuotaDecision.Granted) {}
         QuotaDecision refused = quota.tryTake(1000, now + SECOND);
@@ -42,13 +42,13 @@
 
     @Test
     void startsWithMostOfTheQuotaUsed() {
-        AccountQuota quota = AccountQuota.create(LIMIT, WINDOW, 0);
+        AccountQuota quota = AccountQuota.create(LIMIT, 0, WINDOW, 0);
         assertThat(quota.available(0)).isLessThan(ALLOWED / 2);
     }
 
     @Test
     void newNodeTakesTheUseFromOneThatKnowsIt() {
-        AccountQuota quota = AccountQuota.create(LIMIT, WINDOW, 0);
+        AccountQuota quota = AccountQuota.create(LIMIT, 0, WINDOW, 0);
         quota.setNodes(2, 0);
         quota.report("old", 5000, 100, true, SECOND / 100);
         assertThat(quota.available(SECOND / 100)).isWithin(1).of(100);
@@ -56,7 +56,7 @@
 
     @Test
     void nodeThatIsCutOffGrantsItsShareOnly() {
-        AccountQuota quota = AccountQuota.create(LIMIT, WINDOW, 0);
+        AccountQuota quota = AccountQuota.create(LIMIT, 0, WINDOW, 0);
         quota.setNodes(5, 0);
         double granted = 0;
         for (long t = 10 * SECOND; t < 18 * SECOND; t += SECOND / 100) {
@@ -70,7 +70,7 @@
 
     @Test
     void givenBackUnitsCanBeTakenAgain() {
-        AccountQuota quota = AccountQuota.create(LIMIT, WINDOW, 0);
+        AccountQuota quota = AccountQuota.create(LIMIT, 0, WINDOW, 0);
         long now = 9 * SECOND;
         while (quota.tryTake(1000, now) instanceof QuotaDecision.Granted) {}
         quota.giveBack(1000);
@@ -79,7 +79,7 @@
 
     @Test
     void lowerLimitHoldsForTheWindowThatEndsNow() {
-        AccountQuota quota = AccountQuota.create(LIMIT, WINDOW, 0);
+        AccountQuota quota = AccountQuota.create(LIMIT, 0, WINDOW, 0);
         long now = 9 * SECOND;
         quota.tryTake(5000, now);
         quota.setLimit(new QuotaLimit(100, 200, true, 200), now);
@@ -100,7 +100,7 @@
         int nodes = 5;
         List<AccountQuota> quotas = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
-            quotas.add(AccountQuota.create(LIMIT, WINDOW, 0));
+            quotas.add(AccountQuota.create(LIMIT, 0, WINDOW, 0));
             quotas.get(i).setNodes(nodes, 0);
         }
         long step = SECOND / 100;
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -53,6 +53,9 @@
     /** Before the end of the grace by this much the process ends whatever is open. */
     private static final long EXIT_BEFORE_MILLIS = 250;
 
+    /** The rest of the tolerance is left for grants that other nodes have not reported yet. */
+    private static final double USED_QUOTA_TOLERANCE = 0.7;
+
     private static final long POLL_MILLIS = 50;
 
     private final EventLoopGroup group;
@@ -79,7 +82,9 @@
                         loop,
                         settings.zone(),
                         endpoints,
-                        Accounts.create(settings.bounds().quotaWindow().toNanos()),
+                        Accounts.create(
+                                settings.bounds().quotaWindow().toNanos(),
+                                settings.bounds().quotaTolerance() * USED_QUOTA_TOLERANCE),
                         UsageCounts.create(settings.bounds().usageWindow().toMillis()),
                         log,
                         random,
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
@@ -117,7 +117,7 @@
                 .forEach(z -> zones.put(z, new EngineFleetPolicy.ZoneCount(0, 0)));
         int lasting = 0;
         for (EndpointLoad e : state.endpoints().ofService(service.name())) {
-            if (e.entry().accepting()) {
+            if (e.entry().accepting() && !e.health().isUnreachable(now)) {
                 boolean spot = e.entry().reclaimable();
                 lasting += spot ? 0 : 1;
                 zones.merge(
@@ -137,10 +137,11 @@
         double held = Math.max(measured, neededHeld.getOrDefault(service.name(), 0.0) - DECLINE);
         neededHeld.put(service.name(), held);
         int needed = (int) Math.ceil(held);
+        boolean managed = zones.values().stream().anyMatch(z -> z.reclaimable() > 0);
         if (firstPlanNanos == 0) {
             firstPlanNanos = now;
         }
-        if (now - firstPlanNanos < OBSERVE_NANOS) {
+        if (!managed && now - firstPlanNanos < OBSERVE_NANOS) {
             return;
         }
         if (++plans % PLANS_PER_LINE == 0) {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnections.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnections.java
@@ -27,7 +27,7 @@
     }
 
     /** A connection takes a round trip; one second would be a lost packet that is sent again. */
-    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
     /** Without a stated time an endpoint may close an idle connection at any moment. */
     private static final long DEFAULT_IDLE_MILLIS = 2_000;
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.EndpointId;
 import org.carobdoor.internal.deployment.Configuration;
@@ -78,28 +79,25 @@
     }
 
     /**
-     * Returns the endpoints of {@code service} that may get new requests. Ejected endpoints are
-     * left out, unless most of them are ejected; so are those of zones that are cut off, unless
-     * there are no others.
+     * Returns the endpoints of {@code service} that may get new requests. Left out are endpoints
+     * that could not be reached and those of zones that are cut off, unless there are no others,
+     * and ejected ones, unless most are ejected.
      */
     public List<EndpointLoad> accepting(String service, long nowNanos) {
-        List<EndpointLoad> accepting = new ArrayList<>();
-        List<EndpointLoad> healthy = new ArrayList<>();
-        for (EndpointLoad e : ofService(service)) {
-            if (e.entry().accepting()) {
-                accepting.add(e);
-                if (!e.health().isEjected(nowNanos)) {
-                    healthy.add(e);
-                }
-            }
-        }
-        List<EndpointLoad> reachable =
-                healthy.stream().filter(e -> !silentZones.contains(e.entry().zone())).toList();
-        if (!silentZones.isEmpty() && !reachable.isEmpty()) {
-            return reachable;
-        }
-        boolean fewEjected = healthy.size() >= accepting.size() * (1 - MAX_EJECTED_SHARE);
-        return fewEjected && !healthy.isEmpty() ? healthy : accepting;
+        List<EndpointLoad> accepting =
+                ofService(service).stream().filter(e -> e.entry().accepting()).toList();
+        List<EndpointLoad> connected = orAll(accepting, e -> !e.health().isUnreachable(nowNanos));
+        List<EndpointLoad> near = orAll(connected, e -> !silentZones.contains(e.entry().zone()));
+        List<EndpointLoad> healthy =
+                near.stream().filter(e -> !e.health().isEjected(nowNanos)).toList();
+        boolean fewEjected = healthy.size() >= near.size() * (1 - MAX_EJECTED_SHARE);
+        return fewEjected ? healthy : near;
+    }
+
+    private static List<EndpointLoad> orAll(
+            List<EndpointLoad> all, Predicate<EndpointLoad> preferred) {
+        List<EndpointLoad> some = all.stream().filter(preferred).toList();
+        return some.isEmpty() ? all : some;
     }
 
     /** Returns the mean failure rate of the endpoints of {@code service}. */
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Accounts.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Accounts.java
@@ -18,15 +18,22 @@
 
     private final Map<ClientAccount, AccountQuota> quotas = new HashMap<>();
     private final long windowNanos;
+    private final double tolerance;
     private int nodes = 1;
 
-    private Accounts(long windowNanos) {
+    private Accounts(long windowNanos, double tolerance) {
+        this.tolerance = tolerance;
         this.windowNanos = windowNanos;
     }
 
-    /** Returns no quotas; use will be counted over windows of {@code windowNanos}. */
-    public static Accounts create(long windowNanos) {
-        return new Accounts(windowNanos);
+    /**
+     * Returns no quotas.
+     *
+     * @param windowNanos the length of the windows over which use is counted
+     * @param tolerance the share of a quota that may be used on top of it
+     */
+    public static Accounts create(long windowNanos, double tolerance) {
+        return new Accounts(windowNanos, tolerance);
     }
 
     /** Applies the limits of a configuration. */
@@ -40,7 +47,7 @@
                 (id, limit) -> {
                     AccountQuota quota = quotas.get(id);
                     if (quota == null) {
-                        quota = AccountQuota.create(limit, windowNanos, nowNanos);
+                        quota = AccountQuota.create(limit, tolerance, windowNanos, nowNanos);
                         quota.setNodes(nodes, nowNanos);
                         quotas.put(id, quota);
                     } else {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -30,6 +30,7 @@
 import org.carobdoor.internal.request.EndpointAnswer;
 import org.carobdoor.internal.request.EndpointRequest;
 import org.carobdoor.internal.request.Prompt;
+import org.carobdoor.internal.request.PromptPart;
 import org.carobdoor.node.gateway.endpoint.AnswerListener;
 import org.carobdoor.node.gateway.endpoint.Endpoint;
 import org.carobdoor.node.gateway.endpoint.Send;
@@ -54,7 +55,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Connections that cannot be opened are no sends, but trying them all would take too long. */
-    private static final int MAX_CONNECT_FAILURES = 3;
+    private static final int MAX_CONNECT_FAILURES = 6;
 
     /** A request that may not be repeated only uses connections that were in use just now. */
     private static final long UNREPEATABLE_IDLE_NANOS = 700 * NANOS_PER_MILLI;
@@ -137,20 +138,25 @@
         state.budget(service.name()).onRequest();
         long left = deadlineNanos - System.nanoTime();
         deadlineTimer = state.loop().schedule(this::timeOut, left, TimeUnit.NANOSECONDS);
+        request.prompt().ifPresent(p -> state.addWork(service.name(), engineMillis(p)));
         place();
     }
 
+    /** Returns the engine time that a prompt takes whose shared parts are cached. */
+    private static double engineMillis(Prompt p) {
+        int shared =
+                p.parts().subList(0, p.sharedParts()).stream().mapToInt(PromptPart::tokens).sum();
+        return Math.max(0, p.promptTokens() - shared) / READ_TOKENS_PER_MILLI
+                + p.answerTokens() * ANSWER_SHARE * MILLIS_PER_GENERATED_TOKEN;
+    }
+
     private void place() {
         long now = System.nanoTime();
         if (millisLeft(now) < MIN_SEND_MILLIS) {
             timeOut();
             return;
         }
-        List<EndpointLoad> candidates =
-                state.endpoints().accepting(service.name(), now).stream()
-                        .filter(e -> !tried.contains(e.entry().id()))
-                        .toList();
-        switch (choose(candidates, now)) {
+        switch (choose(candidates(now), now)) {
             case Placement.NoEndpoint() ->
                     fail("no_endpoint", BAD_GATEWAY, NO_ENDPOINT_RETRY_MILLIS);
             case Placement.Saturated(long retryAfter) -> fail("saturated", BAD_GATEWAY, retryAfter);
@@ -166,6 +172,12 @@
         }
     }
 
+    private List<EndpointLoad> candidates(long now) {
+        return state.endpoints().accepting(service.name(), now).stream()
+                .filter(e -> !tried.contains(e.entry().id()))
+                .toList();
+    }
+
     private Placement choose(List<EndpointLoad> candidates, long now) {
         double patience = millisLeft(now) * PATIENCE_SHARE;
         if (service.engine().isPresent() && request.prompt().isPresent()) {
@@ -298,6 +310,7 @@
                 .add("cause", cause)
                 .add("endpoints", tried)
                 .add("sends", sends)
+                .add("units", Math.round(units))
                 .add("ms", millis)
                 .write();
     }
@@ -386,16 +399,7 @@
             written = true;
             state.counters().sent(sends > 0);
             sends++;
-            request.prompt()
-                    .ifPresent(
-                            p -> {
-                                load.residentParts().read(p.parts());
-                                double generated = p.answerTokens() * ANSWER_SHARE;
-                                state.addWork(
-                                        service.name(),
-                                        unread / READ_TOKENS_PER_MILLI
-                                                + generated * MILLIS_PER_GENERATED_TOKEN);
-                            });
+            request.prompt().ifPresent(p -> load.residentParts().read(p.parts()));
             send.write(message, request.id(), this);
             watchForSlowness();
         }
@@ -572,6 +576,7 @@
             if (failed
                     && route.isRepeatable()
                     && sends < route.maxAttempts()
+                    && !candidates(now).isEmpty()
                     && state.budget(service.name()).tryTake(Instant.now())) {
                 releaseBody();
                 mayHaveRun = true;
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
@@ -9,6 +9,7 @@
  * @param dutyLease for how long a node that holds the duties may act after its last renewal
  * @param usageWindow the length of the windows of the usage reports
  * @param quotaWindow the length of the windows over which quotas are counted
+ * @param quotaTolerance the share of a quota that all nodes together may grant on top of it
  * @param reportsUsage whether usage is to be reported
  * @param ordersEndpoints whether endpoints are to be ordered
  * @param retryShare the retries that all nodes may send for each request
@@ -19,6 +20,7 @@
         Duration dutyLease,
         Duration usageWindow,
         Duration quotaWindow,
+        double quotaTolerance,
         boolean reportsUsage,
         boolean ordersEndpoints,
         double retryShare,
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -96,6 +96,7 @@
                 time(t, "duty_lease", Duration.ofSeconds(3)),
                 time(t, "usage_window", Duration.ofSeconds(5)),
                 time(t, "quota_window", Duration.ofSeconds(8)),
+                t.number("quota_tolerance", 0, 0, 1),
                 duties.contains("usage"),
                 duties.contains("scale"),
                 t.number("retry_share", 0.1, 0, 1),
