--- a/core/src/main/java/org/carobdoor/internal/health/EndpointHealth.java
+++ b/core/src/main/java/org/carobdoor/internal/health/EndpointHealth.java
@@ -81,7 +81,9 @@
                 brokenInARow = BROKEN_IN_A_ROW;
                 unreachable = true;
             }
-            case FAILED, REJECTED -> {}
+            default -> {
+                // A request that failed or was refused shows nothing about the connection.
+            }
         }
         boolean outlier =
                 outcomes >= MIN_OUTCOMES
--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -11,22 +11,24 @@
  *
  * <p>Each node takes its own grants at once and the other nodes' grants as they report them. A
  * report is late by its interval, so during that time an account can use as much beyond its quota
- * as it asks for. A node that has not reported for {@link #SILENT_NANOS} counts as using an equal
- * share. A node that is cut off from all others therefore grants only its own share, and so does
- * the other side.
+ * as it asks for. A node of which three reports are missing counts as using an equal share. A node
+ * that is cut off from all others therefore grants only its own share, and so does the other side.
  *
  * <p>Load answered: one account sends several times its quota through all nodes at once, or through
  * nodes that cannot reach each other. Safe for use by several threads.
  */
 public final class AccountQuota {
     /** A node that sent no report for this long counts as cut off; reports come each 200 ms. */
-    public static final long SILENT_NANOS = 1_000_000_000L;
+    private static final long SILENT_NANOS = 600_000_000L;
+
+    /** Reports come less often from many nodes; three of them may be late. */
+    private static final long SILENT_NANOS_PER_NODE = 45_000_000L;
 
     /**
      * The share of the quota that counts as used when nothing is known. After a restart of all
      * nodes the accounts have used an unknown part of it.
      */
-    private static final double USED_AT_START = 1;
+    private static final double USED_AT_START = 0.9;
 
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -200,9 +202,10 @@
         updatedAtNanos = Math.max(updatedAtNanos, nowNanos);
         adopted |= window.advance(nowNanos);
         double share = allowed() / windowSeconds * seconds / nodes;
+        long silence = Math.max(SILENT_NANOS, SILENT_NANOS_PER_NODE * nodes);
         int heard = 0;
         for (Peer p : peers.values()) {
-            if (nowNanos - p.heardAtNanos < SILENT_NANOS) {
+            if (nowNanos - p.heardAtNanos < silence) {
                 heard++;
             } else {
                 p.assumed += share;
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -280,6 +280,10 @@
             return false;
         }
         a.close();
+        if (a.written && route.kind() != RouteKind.STREAMING) {
+            // The endpoint had it and runs it as a rule; a stream counts with its first event.
+            countRun(a.sentNanos);
+        }
         return a.written;
     }
 
@@ -559,10 +563,10 @@
         }
 
         private void answerWhole(HttpResponse h, EndpointAnswer a) {
-            long now = System.nanoTime();
+            long now = now();
             boolean failed = a.status() >= FIRST_SERVER_ERROR;
             record(failed ? SendOutcome.FAILED : SendOutcome.ANSWERED, "status " + a.status());
-            countRun(now);
+            countRun(sentNanos);
             if (streaming) {
                 // The stream has begun with another endpoint's events: this answer cannot join
                 // them.
@@ -605,7 +609,7 @@
             }
             record(SendOutcome.BROKEN, detail);
             if (route.kind() != RouteKind.STREAMING) {
-                countRun(now());
+                countRun(sentNanos);
             }
             placeAgain("broken", false, true);
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/Refusal.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/Refusal.java
@@ -1,5 +1,6 @@
 package org.carobdoor.node.gateway.front;
 
+import java.util.Locale;
 import org.carobdoor.RunState;
 
 /**
@@ -39,7 +40,7 @@
                 + ",\"cause\":\""
                 + cause
                 + "\",\"run_state\":\""
-                + runState.name().toLowerCase(java.util.Locale.ROOT)
+                + runState.name().toLowerCase(Locale.ROOT)
                 + "\"}";
     }
 }
--- a/node/src/test/java/org/carobdoor/node/ModuleDependencyTest.java
+++ b/node/src/test/java/org/carobdoor/node/ModuleDependencyTest.java
@@ -1,10 +1,18 @@
 package org.carobdoor.node;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Guards against dependencies that point the wrong way between modules. */
@@ -25,6 +33,7 @@
                 .resideInAnyPackage(
                         "org.carobdoor.wire..",
                         "org.carobdoor.clients..",
+                        "org.carobdoor.platform..",
                         "org.carobdoor.node..",
                         "org.carobdoor.standins..",
                         "java.nio.channels..",
@@ -52,6 +61,50 @@
                 .check(CLASSES);
     }
 
+    @Test
+    void platformAdapterHoldsNothingThatDecidesOrConnects() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.carobdoor.platform..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "org.carobdoor.wire..",
+                        "org.carobdoor.node..",
+                        "org.carobdoor.clients..",
+                        "org.carobdoor.internal.placement..",
+                        "org.carobdoor.internal.quota..",
+                        "org.carobdoor.internal.duty..",
+                        "org.carobdoor.internal.fleet..",
+                        "org.carobdoor.internal.health..",
+                        "org.carobdoor.internal.retries..",
+                        "io.netty.channel..",
+                        "okhttp3..")
+                .check(CLASSES);
+    }
+
+    @Test
+    void wireNamesOfThePlatformStayInTheAdapter() throws IOException {
+        Pattern names =
+                Pattern.compile(
+                        "\"(X-(Attempt-Id|Deadline-Milliseconds|Prompt-Prefix|Token-Counts|Tenant"
+                                + "|Expect-Instance|Server-Stamp|Not-Executed|Request-Urgency"
+                                + "|Fencing-Token|Duty-Holder)|Kv-From|kv-|/kv-|op/config|servers/"
+                                + "|latencyTargetMs|timeoutMs|coldRemainingMs|expectedRevision"
+                                + "|tombstone|storeRevision|apiKeys|desiredCount|windowNumber)");
+        List<String> found = new ArrayList<>();
+        for (String module : List.of("core", "wire", "clients", "node", "cli")) {
+            try (Stream<Path> files = Files.walk(Path.of("..", module, "src", "main", "java"))) {
+                for (Path f : files.filter(p -> p.toString().endsWith(".java")).toList()) {
+                    if (names.matcher(Files.readString(f)).find()) {
+                        found.add(f.toString());
+                    }
+                }
+            }
+        }
+        assertThat(found).isEmpty();
+    }
+
     @Test
     void productDoesNotDependOnStandIns() {
         noClasses()
--- /dev/null
+++ b/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
@@ -0,0 +1,287 @@
+package org.carobdoor.node.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.carobdoor.standins.gateway.BackendStandIn;
+import org.carobdoor.standins.gateway.CloudStandIn;
+import org.carobdoor.standins.gateway.StoreStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the way of a request through a node, against stand-ins of the platform. */
+final class GatewayTest {
+    private StoreStandIn store;
+    private CloudStandIn cloud;
+    private BackendStandIn first;
+    private BackendStandIn second;
+    private BackendStandIn engine;
+    private BackendStandIn otherEngine;
+    private TestGateway node;
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        store = StoreStandIn.start();
+        cloud = CloudStandIn.start();
+        first = BackendStandIn.start("i-1");
+        second = BackendStandIn.start("i-2");
+        engine = BackendStandIn.start("i-3");
+        otherEngine = BackendStandIn.start("i-4");
+        first.register(store, "desk", "ready");
+        second.register(store, "desk", "ready");
+        engine.register(store, "llm", "ready");
+        store.put("op/config", TestGateway.configuration(1, ""));
+        node = TestGateway.start("n1", store, cloud);
+        TestGateway.await(node::isReady);
+    }
+
+    @AfterEach
+    void stop() {
+        node.close();
+        List.of(first, second, engine, otherEngine).forEach(BackendStandIn::close);
+        cloud.close();
+        store.close();
+    }
+
+    private List<BackendStandIn.Run> plainRuns() {
+        List<BackendStandIn.Run> runs = new ArrayList<>(first.ledger());
+        runs.addAll(second.ledger());
+        return runs;
+    }
+
+    @Test
+    void requestAndAnswerPassUnchanged() {
+        HttpResponse<String> r = node.post("/once/a/../b?x=%20y", "the body");
+        assertThat(r.statusCode()).isEqualTo(200);
+        assertThat(r.body()).isEqualTo("/once/a/../b?x=%20y|the body");
+        assertThat(r.headers().firstValue("X-Server-Stamp").orElse("")).startsWith("stamp-i-");
+        BackendStandIn.Run run = plainRuns().getFirst();
+        assertThat(run.headers().getFirst("X-Tenant")).isEqualTo("hay");
+        assertThat(run.headers().getFirst("X-Expect-Instance")).startsWith("i-");
+        assertThat(run.headers().containsKey("Authorization")).isFalse();
+        assertThat(Long.parseLong(run.headers().getFirst("X-Deadline-Milliseconds")))
+                .isAtMost(2_500L);
+    }
+
+    @Test
+    void headersThatOnlyTheNodeSetsAreReplaced() {
+        node.send(
+                node.request("/once/a")
+                        .header("X-Tenant", "someone")
+                        .header("X-Hold", "7")
+                        .header("Kv-From", "10.0.0.1:1/2")
+                        .GET()
+                        .build());
+        BackendStandIn.Run run = plainRuns().getFirst();
+        assertThat(run.headers().get("X-Tenant")).containsExactly("hay");
+        assertThat(run.headers().containsKey("X-Hold")).isFalse();
+        assertThat(run.headers().containsKey("Kv-From")).isFalse();
+    }
+
+    @Test
+    void unknownKeyAndUnknownRouteAreRefused() {
+        HttpRequest wrongKey =
+                node.request("/safe/a").setHeader("Authorization", "Bearer other").GET().build();
+        assertThat(node.send(wrongKey).statusCode()).isEqualTo(401);
+        assertThat(node.get("/nothing/a").statusCode()).isEqualTo(404);
+        assertThat(plainRuns()).isEmpty();
+    }
+
+    @Test
+    void unsafeRequestIsNotSentAgainAfterABrokenConnection() {
+        first.setMode(BackendStandIn.Mode.BREAK);
+        second.setMode(BackendStandIn.Mode.BREAK);
+        HttpResponse<String> r = node.post("/once/a", "bid");
+        assertThat(r.statusCode()).isEqualTo(502);
+        assertThat(r.body()).contains("unknown");
+        assertThat(plainRuns()).hasSize(1);
+    }
+
+    @Test
+    void safeRequestIsSentToAnotherEndpointAfterABrokenConnection() {
+        first.setMode(BackendStandIn.Mode.BREAK);
+        for (int i = 0; i < 6; i++) {
+            assertThat(node.get("/safe/a").statusCode()).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void requestThatNoEndpointRanIsRefusedAsNotRun() {
+        first.setMode(BackendStandIn.Mode.REJECT);
+        second.setMode(BackendStandIn.Mode.REJECT);
+        HttpResponse<String> r = node.post("/once/a", "bid");
+        assertThat(r.statusCode()).isEqualTo(503);
+        assertThat(r.body()).contains("not_run");
+        assertThat(r.headers().firstValue("Retry-After")).isPresent();
+        assertThat(plainRuns()).isEmpty();
+    }
+
+    @Test
+    void streamArrivesWhole() {
+        HttpResponse<String> r = node.post("/llm/a", "prompt");
+        assertThat(r.statusCode()).isEqualTo(200);
+        assertThat(ids(r.body())).isEqualTo("1,2,3,4,5");
+    }
+
+    @Test
+    void brokenStreamGoesOnElsewhereAfterItsLastWholeEvent() throws InterruptedException {
+        engine.setMode(BackendStandIn.Mode.BREAK_STREAM);
+        CompletableFuture<HttpResponse<String>> answer =
+                CompletableFuture.supplyAsync(() -> node.post("/llm/a", "prompt"));
+        TestGateway.await(() -> engine.ledger().size() == 1);
+        otherEngine.register(store, "llm", "ready");
+        HttpResponse<String> r = answer.join();
+        if (otherEngine.ledger().isEmpty()) {
+            // The second engine was listed too late: the stream must not look complete.
+            throw new AssertionError("the stream was not resumed: " + r.body());
+        }
+        assertThat(ids(r.body())).isEqualTo("1,2,3,4,5");
+    }
+
+    @Test
+    void leavingEndpointGetsNoNewRequests() throws InterruptedException {
+        first.register(store, "desk", "draining");
+        TestGateway.await(
+                () -> {
+                    int before = first.ledger().size();
+                    for (int i = 0; i < 4; i++) {
+                        node.get("/safe/a");
+                    }
+                    return first.ledger().size() == before;
+                });
+        int before = first.ledger().size();
+        for (int i = 0; i < 10; i++) {
+            assertThat(node.get("/safe/a").statusCode()).isEqualTo(200);
+        }
+        assertThat(first.ledger()).hasSize(before);
+    }
+
+    @Test
+    void newConfigurationTakesEffectAndForeignEntriesHarmNothing() throws InterruptedException {
+        store.put("servers/foreign", "not json");
+        store.put("servers/odd", "{\"service\":7}");
+        store.put(
+                "op/config",
+                TestGateway.configuration(
+                        2,
+                        ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":\"/new/\","
+                                + "\"kind\":\"safe\",\"service\":\"desk\",\"maxAttempts\":1}"));
+        TestGateway.await(() -> node.get("/new/a").statusCode() == 200);
+    }
+
+    @Test
+    void nodeServesOnWhileTheStoreIsAwayAndAfterItsHistoryIsGone() throws InterruptedException {
+        store.setDown(true);
+        assertThat(node.get("/safe/a").statusCode()).isEqualTo(200);
+        store.compact();
+        store.setDown(false);
+        store.put(
+                "op/config",
+                TestGateway.configuration(
+                        3,
+                        ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":\"/new/\","
+                                + "\"kind\":\"safe\",\"service\":\"desk\",\"maxAttempts\":1}"));
+        TestGateway.await(() -> node.get("/new/a").statusCode() == 200);
+    }
+
+    @Test
+    void eachWindowIsReportedOnceByOneHolder() throws InterruptedException {
+        try (TestGateway other = TestGateway.start("n2", store, cloud)) {
+            TestGateway.await(other::isReady);
+            for (int i = 0; i < 8; i++) {
+                node.get("/safe/a");
+                other.get("/safe/a");
+            }
+            TestGateway.await(() -> !cloud.calls().isEmpty());
+            Thread.sleep(1_500);
+        }
+        Map<String, List<CloudStandIn.Call>> byWindow =
+                cloud.calls().stream()
+                        .collect(Collectors.groupingBy(c -> c.body().split(",", 2)[0]));
+        byWindow.values()
+                .forEach(
+                        l ->
+                                assertThat(l.stream().map(CloudStandIn.Call::body).distinct())
+                                        .hasSize(1));
+        long counted =
+                cloud.calls().stream()
+                        .map(CloudStandIn.Call::body)
+                        .distinct()
+                        .mapToLong(b -> Long.parseLong(b.replaceAll(".*\"hay\":(\\d+).*", "$1")))
+                        .sum();
+        assertThat(counted).isEqualTo(16);
+        assertThat(cloud.calls().stream().map(CloudStandIn.Call::holder).distinct()).hasSize(1);
+    }
+
+    @Test
+    void openRequestIsAnsweredDuringAPlannedStop() throws Exception {
+        first.setMode(BackendStandIn.Mode.SLOW);
+        second.setMode(BackendStandIn.Mode.SLOW);
+        CompletableFuture<HttpResponse<String>> answer =
+                CompletableFuture.supplyAsync(() -> node.post("/once/a", "bid"));
+        TestGateway.await(() -> plainRuns().size() == 1);
+        Thread stop = Thread.startVirtualThread(this::stopNode);
+        TestGateway.await(() -> !node.isReady());
+        assertThat(answer.join().statusCode()).isEqualTo(200);
+        stop.join();
+    }
+
+    private void stopNode() {
+        try {
+            node.gateway().stopGracefully();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Test
+    void ambiguousLengthIsRefusedAndEndsTheConnection() throws IOException {
+        String head = "POST /once/a HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: x\r\n";
+        for (String lengths :
+                List.of(
+                        "Content-Length: 4\r\nContent-Length: 5\r\n",
+                        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                        "Content-Length: -4\r\n",
+                        "Transfer-Encoding: chunked\r\n\r\nzz\r\n")) {
+            String answer = raw(head + lengths + "\r\nabcdGET /once/b HTTP/1.1\r\n\r\n");
+            assertThat(answer).startsWith("HTTP/1.1 400");
+            assertThat(answer.split("HTTP/1.1", -1)).hasLength(2);
+        }
+        assertThat(plainRuns()).isEmpty();
+    }
+
+    @Test
+    void oversizedHeadAndBodyAreRefused() throws IOException {
+        String head = "POST /once/a HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Attempt-Id: x\r\n";
+        assertThat(raw(head + "X-Long: " + "y".repeat(20_000) + "\r\n\r\n"))
+                .startsWith("HTTP/1.1 431");
+        assertThat(raw(head + "Content-Length: 200000\r\n\r\n")).startsWith("HTTP/1.1 413");
+    }
+
+    /** Sends bytes and returns what arrives until the node closes the connection. */
+    private String raw(String request) throws IOException {
+        try (Socket s = new Socket("127.0.0.1", node.callers().getPort())) {
+            s.setSoTimeout(5_000);
+            s.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            s.getOutputStream().flush();
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static String ids(String events) {
+        return events.lines()
+                .filter(l -> l.startsWith("id: "))
+                .map(l -> l.substring(4))
+                .collect(Collectors.joining(","));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -0,0 +1,170 @@
+package org.carobdoor.node.gateway;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.carobdoor.node.gateway.settings.GatewaySettings;
+import org.carobdoor.node.gateway.settings.GatewaySettingsLoader;
+import org.carobdoor.standins.gateway.CloudStandIn;
+import org.carobdoor.standins.gateway.StoreStandIn;
+
+/** A node on free loopback ports, and a caller of it. */
+final class TestGateway implements AutoCloseable {
+    static final String CONFIGURATION =
+            """
+            {"version":%d,
+             "routes":[
+              {"name":"safe","host":"127.0.0.1","prefix":"/safe/","kind":"safe","timeoutMs":3000,
+               "latencyTargetMs":200,"priority":2,"service":"desk","maxAttempts":2},
+              {"name":"once","host":"127.0.0.1","prefix":"/once/","kind":"unsafe","timeoutMs":3000,
+               "latencyTargetMs":200,"priority":2,"service":"desk","maxAttempts":1},
+              {"name":"chat","host":"127.0.0.1","prefix":"/llm/","kind":"streaming","timeoutMs":3000,
+               "latencyTargetMs":600,"priority":0,"service":"llm","maxAttempts":2,
+               "sessionAffinity":true,"streamResumption":true,"gapTargetMs":500}%s],
+             "services":[
+              {"name":"desk","healthPath":"/health","maxConnections":50},
+              {"name":"llm","healthPath":"/health","maxConnections":50,
+               "engine":{"slots":8,"kvTokens":100000,"kvBytes":100}}],
+             "limits":{"headerBytes":8192,"bodyBytes":100000,"headerTimeoutMs":1000,
+              "idleTimeoutMs":5000},
+             "tenants":[{"name":"hay","apiKeys":["key-1"],"unit":"tokens","plainTokens":10,
+              "ratePerS":1000000,"burst":1000000}]}
+            """;
+
+    private static final String SETTINGS =
+            """
+            [node]
+            name = "%s"
+            availability_zone = "a"
+            [listen]
+            callers = "127.0.0.1:%d"
+            readiness = "127.0.0.1:%d"
+            peer = "127.0.0.1:%d"
+            metrics = "127.0.0.1:%d"
+            [peers]
+            cluster_keys = ["a-key-for-the-tests"]
+            [platform]
+            store = "127.0.0.1:%d"
+            cloud = "127.0.0.1:%d"
+            duties = ["usage"]
+            [bounds]
+            stop_grace = "3s"
+            usage_window = "1s"
+            retry_share = 0.2
+            retry_saved = 50
+            """;
+
+    private final HttpClient client =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(Duration.ofSeconds(2))
+                    .build();
+    private final GatewaySettings settings;
+    private final Gateway gateway;
+    private int next;
+
+    private TestGateway(GatewaySettings settings) {
+        this.settings = settings;
+        this.gateway = Gateway.start(settings).orElseThrow();
+    }
+
+    static TestGateway start(String name, StoreStandIn store, CloudStandIn cloud) {
+        String text =
+                String.format(
+                        SETTINGS,
+                        name,
+                        freePort(),
+                        freePort(),
+                        freePort(),
+                        freePort(),
+                        store.address().getPort(),
+                        cloud.address().getPort());
+        return new TestGateway(GatewaySettingsLoader.parse("test", text).orElseThrow());
+    }
+
+    static String configuration(long version, String moreRoutes) {
+        return String.format(CONFIGURATION, version, moreRoutes);
+    }
+
+    InetSocketAddress callers() {
+        return settings.callers();
+    }
+
+    Gateway gateway() {
+        return gateway;
+    }
+
+    boolean isReady() {
+        try {
+            return send(HttpRequest.newBuilder(uri(settings.readiness(), "/readiness")).build())
+                            .statusCode()
+                    == 200;
+        } catch (UncheckedIOException e) {
+            return false;
+        }
+    }
+
+    HttpResponse<String> get(String path) {
+        return send(request(path).GET().build());
+    }
+
+    HttpResponse<String> post(String path, String body) {
+        return send(request(path).POST(HttpRequest.BodyPublishers.ofString(body)).build());
+    }
+
+    HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(uri(settings.callers(), path))
+                .header("X-Attempt-Id", settings.name() + "-" + ++next)
+                .header("X-Deadline-Milliseconds", "2500")
+                .header("Authorization", "Bearer key-1");
+    }
+
+    HttpResponse<String> send(HttpRequest request) {
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    static void await(BooleanSupplier condition) throws InterruptedException {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - deadline > 0) {
+                throw new AssertionError("the condition did not come true within 10 s");
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private static URI uri(InetSocketAddress address, String path) {
+        // The routes of the tests name this host, since the client sets the Host header itself.
+        return URI.create("http://" + "127.0.0.1:" + address.getPort() + path);
+    }
+
+    private static int freePort() {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return s.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        gateway.close();
+        client.close();
+    }
+}
