--- a/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
@@ -34,6 +34,7 @@
     public record Run(String method, String path, String id, Headers headers, String body) {}
 
     private static final int EVENTS = 5;
+    private static final long SLOW_MILLIS = 500;
 
     private final List<Run> ledger = new CopyOnWriteArrayList<>();
     private final LocalHttp http = LocalHttp.start(this::serve);
@@ -65,8 +66,8 @@
         store.put(
                 "servers/" + id,
                 String.format(
-                        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"a\",\"version\":\"v1\","
-                                + "\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,"
+                        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"a\","
+                                + "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,"
                                 + "\"sequence\":1,\"born\":1700000000000}",
                         service, a.getAddress().getHostAddress(), a.getPort(), state));
     }
@@ -89,14 +90,14 @@
                         in,
                         body));
         out.set("X-Server-Stamp", "stamp-" + id);
-        switch (mode) {
-            case BREAK -> x.close();
-            case SLOW -> {
-                sleep(500);
-                answer(x, body);
-            }
-            case NORMAL, BREAK_STREAM, REJECT -> answer(x, body);
+        if (mode == Mode.BREAK) {
+            x.close();
+            return;
+        }
+        if (mode == Mode.SLOW) {
+            sleep(SLOW_MILLIS);
         }
+        answer(x, body);
     }
 
     private void answer(HttpExchange x, String body) throws IOException {
