--- a/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
@@ -67,8 +67,9 @@
                 "servers/" + id,
                 String.format(
                         "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"a\","
-                                + "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,"
-                                + "\"sequence\":1,\"born\":1700000000000}",
+                                + "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+                                + "\"coldRemainingMs\":0,\"sequence\":1,"
+                                + "\"born\":1700000000000}",
                         service, a.getAddress().getHostAddress(), a.getPort(), state));
     }
 
