--- a/core/src/main/java/org/carobdoor/internal/request/EndpointAnswer.java
+++ b/core/src/main/java/org/carobdoor/internal/request/EndpointAnswer.java
@@ -21,4 +21,18 @@
         boolean signed,
         boolean encoded,
         boolean closes,
-        OptionalLong keepAliveMillis) {}
+        OptionalLong keepAliveMillis) {
+    private static final int FIRST_SUCCESS = 200;
+    private static final int FIRST_REDIRECT = 300;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** Returns whether the request succeeded. */
+    public boolean isSuccess() {
+        return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
+    }
+
+    /** Returns whether the endpoint failed. */
+    public boolean isServerError() {
+        return status >= FIRST_SERVER_ERROR;
+    }
+}
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
@@ -142,9 +142,20 @@
                 refuse(exchange, request.id(), Refusal.overQuota(retryAfter));
             }
             case QuotaDecision.Granted() -> {
-                ForwardedCall call =
-                        new ForwardedCall(
-                                state, exchange, request, route, service, account, units, calls);
+                long patience =
+                        Math.min(
+                                request.waitMillis().orElse(Long.MAX_VALUE), route.timeoutMillis());
+                CallContext context =
+                        new CallContext(
+                                state,
+                                exchange,
+                                request,
+                                route,
+                                service,
+                                account,
+                                units,
+                                exchange.arrivedNanos() + patience * CallContext.NANOS_PER_MILLI);
+                ForwardedCall call = new ForwardedCall(context, calls);
                 calls.add(call);
                 call.start();
             }
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -27,7 +27,8 @@
                "latencyTargetMs":200,"priority":2,"service":"desk","maxAttempts":2},
               {"name":"once","host":"127.0.0.1","prefix":"/once/","kind":"unsafe","timeoutMs":3000,
                "latencyTargetMs":200,"priority":2,"service":"desk","maxAttempts":1},
-              {"name":"chat","host":"127.0.0.1","prefix":"/llm/","kind":"streaming","timeoutMs":3000,
+              {"name":"chat","host":"127.0.0.1","prefix":"/llm/","kind":"streaming",
+               "timeoutMs":3000,
                "latencyTargetMs":600,"priority":0,"service":"llm","maxAttempts":2,
                "sessionAffinity":true,"streamResumption":true,"gapTargetMs":500}%s],
              "services":[
