--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -95,10 +95,15 @@
      * Returns the orders to send now: those that differ from what a zone has and were not sent
      * lately.
      *
-     * @param needed the engines that carry the load
+     * @param needed the engines that carry the load of the last while, its peaks included
+     * @param neededNow the engines that carry the load of this moment
      */
     public List<Target> plan(
-            FleetBounds bounds, Map<AvailabilityZone, ZoneCount> zones, int needed, long nowNanos) {
+            FleetBounds bounds,
+            Map<AvailabilityZone, ZoneCount> zones,
+            int needed,
+            int neededNow,
+            long nowNanos) {
         List<Target> targets = new ArrayList<>();
         int others = Math.max(1, zones.size() - 1);
         int perZone = Math.clamp(ceilDiv(needed, others), bounds.minPerZone(), bounds.maxPerZone());
@@ -115,7 +120,7 @@
         }
         boolean wave = reclaimSeen && nowNanos - waveUntilNanos < 0;
         double trusted = reclaimable * (wave ? TRUST_AFTER_RECLAIM : 1);
-        double essential = needed * TARGET_UTILISATION / LASTING_UTILISATION;
+        double essential = neededNow * TARGET_UTILISATION / LASTING_UTILISATION;
         int missing = (int) Math.ceil(essential - trusted);
         noteSurplus(lasting > Math.max(0, missing), nowNanos);
         boolean settled = surplus && nowNanos - surplusSinceNanos >= SETTLE_NANOS;
--- a/core/src/test/java/org/carobdoor/internal/fleet/EngineFleetPolicyTest.java
+++ b/core/src/test/java/org/carobdoor/internal/fleet/EngineFleetPolicyTest.java
@@ -27,7 +27,7 @@
     }
 
     private List<Target> plan(Map<AvailabilityZone, ZoneCount> zones, int needed, long now) {
-        List<Target> targets = policy.plan(BOUNDS, zones, needed, now);
+        List<Target> targets = policy.plan(BOUNDS, zones, needed, needed, now);
         targets.forEach(t -> policy.ordered(t, BOUNDS, now));
         return targets;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -91,6 +91,7 @@
                         settings.bounds().retryShare(),
                         settings.bounds().retrySaved());
         forwarder = Forwarder.create(state);
+        state.onReady(forwarder::serveWaiting);
         long startedAt = System.currentTimeMillis();
         String run = settings.name() + "@" + startedAt;
         network =
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
@@ -51,9 +51,9 @@
     private static final int MEASURED_PLANS = 8;
 
     /**
-     * Engines given up with each plan while the load falls, so that a lull does not empty a zone.
+     * Engines given up with each plan while the load falls: each takes its cached prompts along.
      */
-    private static final double DECLINE = 0.4;
+    private static final double DECLINE = 0.1;
 
     private final Map<String, Double> neededHeld = new HashMap<>();
     private int plansWithWork;
@@ -154,7 +154,7 @@
         }
         EngineFleetPolicy policy =
                 policies.computeIfAbsent(service.name(), s -> EngineFleetPolicy.create());
-        for (EngineFleetPolicy.Target t : policy.plan(bounds, zones, needed, now)) {
+        for (EngineFleetPolicy.Target t : policy.plan(bounds, zones, needed, measured, now)) {
             order(service, bounds, policy, t, needed, work);
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
@@ -68,6 +68,7 @@
             case Result.Ok<Configuration>(Configuration c) -> {
                 configurationItem = item;
                 state.configure(c, System.nanoTime());
+                noteReady();
                 log.line("configuration.applied")
                         .add("version", c.version())
                         .add("revision", item.revision())
@@ -96,6 +97,13 @@
             }
         }
         directory.replaceAll(entries, revisions, revision, System.nanoTime());
+        noteReady();
+    }
+
+    private void noteReady() {
+        if (isReady()) {
+            state.setReady();
+        }
     }
 
     /** Applies changes of endpoints. */
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
@@ -28,6 +28,9 @@
     /** The answer broke off, or was not an answer; the request may have run. */
     void broken();
 
+    /** Returns whether the request could be given to another endpoint now. */
+    boolean hasAlternative();
+
     /** No answer has come in the time that answers take; the sending was given up. */
     void slow();
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -182,7 +182,8 @@
             return;
         }
         // Prompts wait in queues, so only the silence of the whole endpoint tells that one hangs.
-        if (call.route().kind() == RouteKind.SAFE || load.isSuspect(now())) {
+        boolean hangs = call.route().kind() == RouteKind.SAFE || load.isSuspect(now());
+        if (hangs && listener.hasAlternative()) {
             close();
             record(SendOutcome.TIMED_OUT, "no answer yet");
             listener.slow();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -270,6 +270,11 @@
         placeAgain("rejected", true, !misdirected);
     }
 
+    @Override
+    public boolean hasAlternative() {
+        return !candidates(System.nanoTime()).isEmpty();
+    }
+
     @Override
     public void slow() {
         attempt = null;
@@ -355,7 +360,7 @@
     private boolean mayTryElsewhere() {
         return route.isRepeatable()
                 && sends < route.maxAttempts()
-                && !candidates(System.nanoTime()).isEmpty()
+                && hasAlternative()
                 && state.budget(service.name()).tryTake(Instant.now());
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
@@ -1,8 +1,11 @@
 package org.carobdoor.node.gateway.forward;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.carobdoor.Failure;
 import org.carobdoor.Result;
 import org.carobdoor.internal.deployment.Account;
@@ -27,18 +30,30 @@
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
 
-    /** A node without a configuration has just started; it knows more within this time. */
+    /** A node without a configuration asks the store again within this time. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 300;
 
+    /**
+     * How long a request waits for the first configuration, which a node that has just started
+     * reads within some hundred milliseconds: a refusal would use up the caller's only repeat.
+     */
+    private static final long CONFIGURATION_WAIT_MILLIS = 500;
+
+    /** Requests that may wait for the first configuration. */
+    private static final int MAX_WAITING = 200;
+
     /** A caller that is turned away by a stopping node is served by another one at once. */
     private static final long STOPPING_RETRY_MILLIS = 20;
 
     private final ForwardingState state;
     private final Set<ForwardedCall> calls = new HashSet<>();
+    private final Set<Waiting> waiting = new LinkedHashSet<>();
     private boolean stopping;
     private boolean refusingStreams;
     private boolean refusingAll;
 
+    private record Waiting(Exchange exchange, CallerRequest request) {}
+
     private Forwarder(ForwardingState state) {
         this.state = state;
     }
@@ -91,11 +106,8 @@
 
     private void route(Exchange exchange, CallerRequest request) {
         Optional<Configuration> known = state.configuration();
-        if (known.isEmpty()) {
-            refuse(
-                    exchange,
-                    request.id(),
-                    Refusal.unavailable("no_configuration", NO_CONFIGURATION_RETRY_MILLIS));
+        if (known.isEmpty() || !state.isReady()) {
+            awaitConfiguration(exchange, request);
             return;
         }
         Configuration c = known.get();
@@ -121,6 +133,38 @@
         admit(exchange, request, r, service, account);
     }
 
+    private void awaitConfiguration(Exchange exchange, CallerRequest request) {
+        if (waiting.size() >= MAX_WAITING || state.isConfigurationOverdue()) {
+            refuseUnconfigured(exchange, request);
+            return;
+        }
+        Waiting w = new Waiting(exchange, request);
+        waiting.add(w);
+        state.loop()
+                .schedule(
+                        () -> {
+                            if (waiting.remove(w)) {
+                                refuseUnconfigured(exchange, request);
+                            }
+                        },
+                        CONFIGURATION_WAIT_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void refuseUnconfigured(Exchange exchange, CallerRequest request) {
+        refuse(
+                exchange,
+                request.id(),
+                Refusal.unavailable("no_configuration", NO_CONFIGURATION_RETRY_MILLIS));
+    }
+
+    /** Serves the requests that waited for the first configuration. */
+    public void serveWaiting() {
+        List<Waiting> now = List.copyOf(waiting);
+        waiting.clear();
+        now.stream().filter(w -> !w.exchange.isEnded()).forEach(w -> route(w.exchange, w.request));
+    }
+
     private void admit(
             Exchange exchange,
             CallerRequest request,
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -21,7 +21,11 @@
     /** Keeps this node's share of the saved retries below the whole while nodes come and go. */
     private static final double SAVED_SHARE = 0.8;
 
+    /** A node that has just started reads its configuration well within this time. */
+    private static final long CONFIGURATION_DUE_NANOS = 2_000_000_000L;
+
     private final EventLoop loop;
+    private final long startedNanos = System.nanoTime();
     private final AvailabilityZone zone;
     private final EndpointTable endpoints;
     private final Accounts accounts;
@@ -34,6 +38,8 @@
     private final double retryShare;
     private final double retrySaved;
     private Optional<Configuration> configuration = Optional.empty();
+    private Runnable onReady = () -> {};
+    private boolean ready;
     private int nodes = 1;
     private long clockMillis;
     private long clockAtNanos;
@@ -74,6 +80,24 @@
         endpoints.configure(newConfiguration, nodes);
     }
 
+    /** Notes that the configuration and the endpoints are known. */
+    public void setReady() {
+        if (!ready) {
+            ready = true;
+            onReady.run();
+        }
+    }
+
+    /** Sets what runs once the configuration and the endpoints are known. */
+    public void onReady(Runnable task) {
+        onReady = task;
+    }
+
+    /** Returns whether the configuration and the endpoints are known. */
+    boolean isReady() {
+        return ready;
+    }
+
     /** Sets the number of nodes that share quotas, budgets and connections. */
     public void setNodes(int count, long nowNanos) {
         if (count == nodes) {
@@ -91,6 +115,11 @@
         clockAtNanos = nowNanos;
     }
 
+    /** Returns whether a configuration should have come by now: the store must be away. */
+    boolean isConfigurationOverdue() {
+        return System.nanoTime() - startedNanos > CONFIGURATION_DUE_NANOS;
+    }
+
     /** Returns the counters of the requests. */
     public RequestCounters counters() {
         return counters;
