--- a/cli/src/test/java/org/carobdoor/cli/DocumentationTest.java
+++ b/cli/src/test/java/org/carobdoor/cli/DocumentationTest.java
@@ -46,7 +46,7 @@
     }
 
     private static List<Path> sources() throws IOException {
-        Path catalogue = ROOT.resolve("platform/src/main/java/org/carobdoor/platform/catalogue");
+        Path catalogue = ROOT.resolve("clients/src/main/java/org/carobdoor/clients/catalogue");
         try (Stream<Path> cli = Files.walk(ROOT.resolve("cli/src/main"));
                 Stream<Path> platform = Files.walk(catalogue)) {
             return Stream.concat(cli, platform)
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
@@ -55,6 +55,9 @@
      */
     private static final double DECLINE = 0.1;
 
+    /** Share of the engines of the last peak that are needed even in a lull. */
+    private static final double LULL_SHARE = 0.75;
+
     private final Map<String, Double> neededHeld = new HashMap<>();
     private int plansWithWork;
     private long firstPlanNanos;
@@ -100,9 +103,11 @@
                 continue;
             }
             double rate = newWork.getOrDefault(s.name(), 0.0) / seconds;
-            double mean = workRate.getOrDefault(s.name(), rate);
-            workRate.put(s.name(), mean + NEWEST_WEIGHT * (rate - mean));
             plansWithWork += rate > 0 ? 1 : 0;
+            // The mean of all seconds with work at first: the quiet before would hide the load.
+            double weight = Math.max(NEWEST_WEIGHT, 1.0 / Math.max(1, plansWithWork));
+            double mean = workRate.getOrDefault(s.name(), rate);
+            workRate.put(s.name(), mean + weight * (rate - mean));
             if (holder) {
                 plan(s, s.fleet().get(), now);
             }
@@ -137,6 +142,7 @@
         double held = Math.max(measured, neededHeld.getOrDefault(service.name(), 0.0) - DECLINE);
         neededHeld.put(service.name(), held);
         int needed = (int) Math.ceil(held);
+        int neededNow = Math.max(measured, (int) Math.ceil(held * LULL_SHARE));
         boolean managed = zones.values().stream().anyMatch(z -> z.reclaimable() > 0);
         if (firstPlanNanos == 0) {
             firstPlanNanos = now;
@@ -154,7 +160,7 @@
         }
         EngineFleetPolicy policy =
                 policies.computeIfAbsent(service.name(), s -> EngineFleetPolicy.create());
-        for (EngineFleetPolicy.Target t : policy.plan(bounds, zones, needed, measured, now)) {
+        for (EngineFleetPolicy.Target t : policy.plan(bounds, zones, needed, neededNow, now)) {
             order(service, bounds, policy, t, needed, work);
         }
     }
