--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -28,12 +28,6 @@
     /** The same for lasting engines, which cost several times as much as reclaimable ones. */
     private static final double LASTING_UTILISATION = 0.6;
 
-    /**
-     * The share of the reclaimable engines that is counted on after one zone's have been taken
-     * away: the other zones' often follow.
-     */
-    private static final double TRUST_AFTER_RECLAIM = 0.35;
-
     /** For how long after a zone's reclaimable engines were taken away others may follow. */
     private static final long RECLAIM_WAVE_NANOS = 12_000_000_000L;
 
@@ -119,7 +113,8 @@
             targets.add(new Target(e.getKey(), true, Math.min(perZone, room)));
         }
         boolean wave = reclaimSeen && nowNanos - waveUntilNanos < 0;
-        double trusted = reclaimable * (wave ? TRUST_AFTER_RECLAIM : 1);
+        // The other zones' engines often follow within seconds, sooner than new ones boot.
+        int trusted = wave ? 0 : reclaimable;
         double essential = neededNow * TARGET_UTILISATION / LASTING_UTILISATION;
         int missing = (int) Math.ceil(essential - trusted);
         noteSurplus(lasting > Math.max(0, missing), nowNanos);
