--- /dev/null
+++ b/core/src/test/java/org/carobdoor/internal/fleet/FleetDemandTest.java
@@ -0,0 +1,53 @@
+package org.carobdoor.internal.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.carobdoor.internal.fleet.FleetDemand.Engines;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a fleet that is given up since a node has just started. */
+final class FleetDemandTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private final FleetDemand demand = FleetDemand.create();
+
+    private void load(double millisPerSecond, int times) {
+        for (int i = 0; i < times; i++) {
+            demand.measured(millisPerSecond);
+        }
+    }
+
+    @Test
+    void restartedNodeGivesUpNothingBeforeItHasMeasured() {
+        // Seen on nads-motions trouble-3: after a restart of all nodes, 1 engine a zone was
+        // ordered.
+        assertThat(demand.estimate(0, 15, 0).isEmpty()).isTrue();
+        assertThat(demand.estimate(0, 15, 5 * SECOND).isEmpty()).isTrue();
+        load(4_000, 8);
+        assertThat(demand.estimate(0, 15, 6 * SECOND).orElseThrow().peak()).isEqualTo(8);
+    }
+
+    @Test
+    void firstFleetIsAsLargeAsTheOperatorsOwn() {
+        assertThat(demand.estimate(3, 0, 0).isEmpty()).isTrue();
+        assertThat(demand.estimate(13, 0, 4 * SECOND).orElseThrow()).isEqualTo(new Engines(13, 13));
+        assertThat(demand.estimate(2, 12, 9 * SECOND).orElseThrow()).isEqualTo(new Engines(13, 13));
+    }
+
+    @Test
+    void quietBeforeTheFirstRequestsDoesNotHideTheLoad() {
+        load(0, 30);
+        load(4_000, 8);
+        assertThat(demand.workMillisPerSecond()).isWithin(1).of(4_000);
+    }
+
+    @Test
+    void lullKeepsMostOfTheLastPeak() {
+        load(8_000, 40);
+        demand.estimate(0, 15, 0);
+        load(500, 60);
+        Engines e = demand.estimate(0, 15, 0).orElseThrow();
+        assertThat(e.peak()).isAtLeast(15);
+        assertThat(e.now()).isAtLeast(12);
+    }
+}
