--- a/core/src/main/java/org/carobdoor/internal/deployment/Configuration.java
+++ b/core/src/main/java/org/carobdoor/internal/deployment/Configuration.java
@@ -78,11 +78,6 @@
         return List.copyOf(services.values());
     }
 
-    /** Returns all routes, in no order. */
-    public List<Route> routes() {
-        return routesByHost.values().stream().flatMap(List::stream).toList();
-    }
-
     /** Returns all client accounts. */
     public List<Account> accounts() {
         return accounts;
--- a/core/src/main/java/org/carobdoor/internal/duty/DutyTenure.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/DutyTenure.java
@@ -64,11 +64,6 @@
         return new DutyTenure(node, random);
     }
 
-    /** Sets whether this node may take the duties; one that is stopping may not. */
-    public void setEligible(boolean value) {
-        eligible = value;
-    }
-
     /** Returns the next step; the caller reports how it ended before it asks again. */
     public DutyStep next(long nowNanos, long wallMillis) {
         if (stepOpen) {
--- a/core/src/test/java/org/carobdoor/internal/duty/DutyTenureTest.java
+++ b/core/src/test/java/org/carobdoor/internal/duty/DutyTenureTest.java
@@ -87,7 +87,7 @@
 
     @Test
     void stoppingNodeTakesNothing() {
-        tenure.setEligible(false);
+        assertThat(tenure.release(0).isEmpty()).isTrue();
         tenure.keyMissing(1, 0);
         assertThat(tenure.next(5_000 * MS, 5_000)).isInstanceOf(DutyStep.Wait.class);
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -306,9 +305,4 @@
     long cloudCalls() {
         return cloud.calls();
     }
-
-    /** Returns the fencing number, if this node holds the duties. */
-    Optional<Long> heldFence() {
-        return isHolder() ? Optional.of(tenure.fence()) : Optional.empty();
-    }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -8,7 +8,6 @@
 public final class Endpoint implements AutoCloseable {
     private final EndpointLoad load;
     private final EndpointConnections connections;
-    private boolean gone;
 
     Endpoint(
             EventLoop loop,
@@ -27,11 +26,6 @@
         return load;
     }
 
-    /** Returns whether it is gone from the directory. */
-    public boolean isGone() {
-        return gone;
-    }
-
     /** Takes a connection for one send. */
     public Send openSend(long maxIdleNanos) {
         return new Send(connections, maxIdleNanos);
@@ -44,7 +38,6 @@
     /** Closes the idle connections; running requests go on. */
     @Override
     public void close() {
-        gone = true;
         connections.close();
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,11 +60,6 @@
         return Optional.ofNullable(byId.get(id));
     }
 
-    /** Returns all endpoints. */
-    public Collection<Endpoint> all() {
-        return byId.values();
-    }
-
     /** Returns the endpoints of {@code service}, accepting or not. */
     public List<EndpointLoad> ofService(String service) {
         return byService.getOrDefault(service, List.of());
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerHandler.java
@@ -205,14 +205,6 @@
         }
     }
 
-    /** Closes the connection if no request is on it. */
-    void closeIfIdle() {
-        Channel ch = channel;
-        if (ch != null && exchange == null && head == null && partialSinceNanos == 0) {
-            ch.close();
-        }
-    }
-
     boolean isBusy() {
         return exchange != null || head != null;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/FrontServer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/FrontServer.java
@@ -72,11 +72,6 @@
         return connections.stream().filter(CallerHandler::isBusy).count();
     }
 
-    /** Closes the connections that carry no request. */
-    public void closeIdleConnections() {
-        List.copyOf(connections).forEach(CallerHandler::closeIfIdle);
-    }
-
     void opened(CallerHandler h) {
         connections.add(h);
     }
