--- a/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.NodeId;
+import org.carobdoor.internal.quota.NodeCensus;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.StoreMirror;
@@ -62,6 +63,7 @@
     private final Listener listener;
     private final DecisionLog log;
     private final Map<NodeId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    private final NodeCensus census = NodeCensus.create();
     private final Map<String, Long> heardAtNanos = new HashMap<>();
     private final Map<String, AvailabilityZone> zones = new HashMap<>();
     private final AvailabilityZone ownZone;
@@ -169,12 +171,12 @@
         return silent;
     }
 
-    /** Returns the number of nodes, this one included. */
+    /** Returns the number of nodes that may be serving, this one included. */
     int nodeCount() {
         Set<String> names = new HashSet<>();
         addresses.keySet().forEach(id -> names.add(PeerAddress.nodeOf(id.value())));
-        names.remove(PeerAddress.nodeOf(run));
-        return names.size() + 1;
+        names.add(PeerAddress.nodeOf(run));
+        return census.count(names, System.nanoTime());
     }
 
     /** Returns whether every other node was heard within the last second or so. */
