--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -14,15 +14,15 @@
  * The endpoints that the platform's store lists, kept in step by its changes.
  *
  * <p>While the store is away the last known endpoints stay. Entries lapse during an outage although
- * their endpoints live, and live endpoints write them anew within two seconds of its end; so an
+ * their endpoints run, and running endpoints write them again within two seconds of its end; so an
  * entry that is missing right after an outage is kept until {@link #LAPSE_GRACE_NANOS} have passed.
  *
  * <p>Belongs to one thread.
  */
 public final class EndpointDirectory {
     /**
-     * How long after the store's return a missing entry is kept: an endpoint that lives is back
-     * within about two seconds, and the bound for the use of a removed one is two seconds.
+     * How long after the store's return a missing entry is kept: a running endpoint is back within
+     * about two seconds, and the bound for the use of a removed one is two seconds.
      */
     public static final long LAPSE_GRACE_NANOS = 2_000_000_000L;
 
--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -14,7 +14,7 @@
  * <p>Reclaimable engines cost a fraction of lasting ones, but a zone's worth of them goes at once.
  * So enough of them are ordered that the load is still carried without the zone that has most, and
  * lasting engines are kept only for what is missing: at the start, while reclaimable ones boot, and
- * while none are to be had.
+ * while none are available.
  *
  * <p>Load answered: the measured work of the last seconds, with room for a burst. Belongs to one
  * thread.
@@ -31,10 +31,10 @@
     /** For how long after a zone's reclaimable engines were taken away others may follow. */
     private static final long RECLAIM_WAVE_NANOS = 12_000_000_000L;
 
-    /** Lasting engines are given up when they have not been needed for this long. */
+    /** Lasting engines are released when they have not been needed for this long. */
     private static final long SETTLE_NANOS = 3_000_000_000L;
 
-    /** Wait before engines are ordered again where none were to be had. */
+    /** Wait before engines are ordered again where none were available. */
     private static final long UNAVAILABLE_NANOS = 2_500_000_000L;
 
     /** Wait before an order that has not taken effect is repeated, on top of the boot time. */
@@ -113,7 +113,7 @@
             targets.add(new Target(e.getKey(), true, Math.min(perZone, room)));
         }
         boolean wave = reclaimSeen && nowNanos - waveUntilNanos < 0;
-        // The other zones' engines often follow within seconds, sooner than new ones boot.
+        // The other zones' engines are often reclaimed within seconds, before new ones have booted.
         int trusted = wave ? 0 : reclaimable;
         double essential = neededNow * TARGET_UTILISATION / LASTING_UTILISATION;
         int missing = (int) Math.ceil(essential - trusted);
@@ -134,7 +134,7 @@
         sent.remove(new Subject(t.zone(), t.reclaimable()));
     }
 
-    /** Notes that the engines of an order are not to be had for now. */
+    /** Notes that the engines of an order are not available for now. */
     public void unavailable(Target t, long nowNanos) {
         failed(t);
         if (t.reclaimable()) {
@@ -144,7 +144,7 @@
                 new Subject(t.zone(), t.reclaimable()), nowNanos + UNAVAILABLE_NANOS);
     }
 
-    /** Notes when the reclaimable engines of a zone have gone at once though none were given up. */
+    /** Notes when the reclaimable engines of a zone were reclaimed at once. */
     private void noteReclaim(AvailabilityZone zone, int count, long nowNanos) {
         Integer before = counts.put(zone, count);
         Sent order = sent.get(new Subject(zone, true));
--- a/core/src/main/java/org/carobdoor/internal/fleet/FleetDemand.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/FleetDemand.java
@@ -20,7 +20,7 @@
     /** Endpoints are listed one by one after a start of everything. */
     private static final long OBSERVE_NANOS = 4_000_000_000L;
 
-    /** Engines given up with each estimate while the load falls: each takes its cache along. */
+    /** Engines released per estimate while the load falls: the cached prompts of each are lost. */
     private static final double DECLINE = 0.1;
 
     /** Share of the engines of the last peak that are needed even in a lull. */
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -42,7 +42,7 @@
     /** Connections that cannot be opened are no sends, but trying them all would take too long. */
     private static final int MAX_CONNECT_FAILURES = 6;
 
-    /** Retry-After when a service has no endpoint: they are listed anew within seconds. */
+    /** Retry-After when a service has no endpoint: new ones are listed within seconds. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 600;
 
     /** Retry-After when endpoints refused a request: their queues shrink within this time. */
