--- a/core/src/main/java/org/carobdoor/internal/duty/UsageCounts.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/UsageCounts.java
@@ -48,11 +48,6 @@
         }
     }
 
-    /** Returns the counts of {@code window} by account. */
-    public Map<String, Long> counts(long window) {
-        return Map.copyOf(windows.getOrDefault(window, Map.of()));
-    }
-
     /** Returns the counts of the windows from {@code first} on. */
     public NavigableMap<Long, Map<String, Long>> since(long first) {
         return new TreeMap<>(windows.tailMap(first, true));
--- a/core/src/main/java/org/carobdoor/internal/placement/EnginePlacement.java
+++ b/core/src/main/java/org/carobdoor/internal/placement/EnginePlacement.java
@@ -35,9 +35,6 @@
     /** Share of the memory up to which running requests are placed. */
     private static final double MEMORY_SHARE = 0.85;
 
-    /** The round trip between zones, in milliseconds. */
-    private static final double OTHER_ZONE_MILLIS = 2;
-
     /** The least time that a refused request is told to wait, in milliseconds. */
     private static final long MIN_RETRY_MILLIS = 200;
 
@@ -61,17 +58,12 @@
             double patienceMillis,
             long nowNanos) {
         Homes homes = Homes.of(engines, prompt);
-        EndpointLoad best = null;
-        double bestMillis = Double.MAX_VALUE;
-        int bestUnread = 0;
+        BestChoice choice = new BestChoice(zone);
         for (EndpointLoad e : engines) {
             int unread = unreadTokens(e, prompt, homes);
             double millis = (e.unreadEverywhere() + unread) / e.tokensPerMilli();
             millis += e.runningEverywhere() * MILLIS_PER_RUNNING;
             millis += e.warmUpLeftMillis(nowNanos);
-            if (!e.entry().zone().equals(zone)) {
-                millis += OTHER_ZONE_MILLIS;
-            }
             long held = e.heldTokens() + prompt.totalTokens();
             if (e.runningEverywhere() >= slots || held > memoryTokens * MEMORY_SHARE) {
                 millis += FULL_MILLIS;
@@ -79,20 +71,9 @@
             if (e.isSuspect(nowNanos)) {
                 millis += SUSPECT_MILLIS;
             }
-            if (millis < bestMillis) {
-                best = e;
-                bestMillis = millis;
-                bestUnread = unread;
-            }
-        }
-        if (best == null) {
-            return new Placement.NoEndpoint();
-        }
-        if (bestMillis > patienceMillis) {
-            long excess = Math.round(bestMillis - patienceMillis);
-            return new Placement.Saturated(Math.max(MIN_RETRY_MILLIS, excess));
+            choice.offer(e, millis, unread);
         }
-        return new Placement.Chosen(best, bestMillis, bestUnread);
+        return choice.result(patienceMillis, MIN_RETRY_MILLIS);
     }
 
     private static int unreadTokens(EndpointLoad e, Prompt prompt, Homes homes) {
--- a/core/src/main/java/org/carobdoor/internal/placement/PlainPlacement.java
+++ b/core/src/main/java/org/carobdoor/internal/placement/PlainPlacement.java
@@ -11,9 +11,6 @@
  * fill their queue.
  */
 public final class PlainPlacement {
-    /** The round trip between zones, in milliseconds. */
-    private static final double OTHER_ZONE_MILLIS = 2;
-
     /** Added for an endpoint that is silent with work outstanding: it may be dead. */
     private static final double SUSPECT_MILLIS = 2_000;
 
@@ -33,31 +30,17 @@
             AvailabilityZone zone,
             double patienceMillis,
             long nowNanos) {
-        EndpointLoad best = null;
-        double bestMillis = Double.MAX_VALUE;
+        BestChoice choice = new BestChoice(zone);
         for (EndpointLoad e : endpoints) {
             int slots = Math.max(1, e.entry().slots());
             double rounds = Math.max(1, (e.runningEverywhere() + 1.0) / slots);
             double crowding = (double) e.runningEverywhere() / slots;
             double millis = e.answerMillis() * (rounds + crowding);
-            if (!e.entry().zone().equals(zone)) {
-                millis += OTHER_ZONE_MILLIS;
-            }
             if (e.isSuspect(nowNanos)) {
                 millis += SUSPECT_MILLIS;
             }
-            if (millis < bestMillis) {
-                best = e;
-                bestMillis = millis;
-            }
-        }
-        if (best == null) {
-            return new Placement.NoEndpoint();
-        }
-        if (bestMillis > patienceMillis) {
-            long excess = Math.round(bestMillis - patienceMillis);
-            return new Placement.Saturated(Math.max(MIN_RETRY_MILLIS, excess));
+            choice.offer(e, millis, 0);
         }
-        return new Placement.Chosen(best, bestMillis, 0);
+        return choice.result(patienceMillis, MIN_RETRY_MILLIS);
     }
 }
--- a/core/src/main/java/org/carobdoor/message/NodeStatus.java
+++ b/core/src/main/java/org/carobdoor/message/NodeStatus.java
@@ -32,6 +32,7 @@
         List<UsageWindow> windows,
         Map<String, Long> workMillis)
         implements NodeMessage {
+    private static final char RUN_SEPARATOR = '@';
 
     /** Copies the collections. */
     public NodeStatus {
@@ -43,6 +44,16 @@
 
     /** Identifies this run of the node. */
     public String run() {
-        return node + "@" + startedAtMillis;
+        return runOf(node, startedAtMillis);
+    }
+
+    /** Returns the identifier of the run of {@code node} that started at this time. */
+    public static String runOf(String node, long startedAtMillis) {
+        return node + RUN_SEPARATOR + startedAtMillis;
+    }
+
+    /** Returns the name of the node that {@code run} is a run of. */
+    public static String nodeOf(String run) {
+        return run.substring(0, Math.max(0, run.lastIndexOf(RUN_SEPARATOR)));
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.carobdoor.Result;
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.duty.UsageCounts;
+import org.carobdoor.message.NodeStatus;
 import org.carobdoor.node.gateway.control.ControlLoop;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
 import org.carobdoor.node.gateway.forward.Accounts;
@@ -93,7 +94,7 @@
         forwarder = Forwarder.create(state);
         state.onReady(forwarder::serveWaiting);
         long startedAt = System.currentTimeMillis();
-        String run = settings.name() + "@" + startedAt;
+        String run = NodeStatus.runOf(settings.name(), startedAt);
         network =
                 TcpPeerNetwork.openOn(
                         group,
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -105,7 +105,7 @@
                                                 settings.name(),
                                                 run,
                                                 () -> clock.millis(System.nanoTime()),
-                                                this::allPeersHeard,
+                                                peers::allHeard,
                                                 log))
                         .orElse(null);
     }
@@ -173,10 +173,6 @@
         new StoreWatch(loop, store, prefix, WATCH_MILLIS, pauseMillis, listener, log).start();
     }
 
-    private boolean allPeersHeard() {
-        return peers.allHeard();
-    }
-
     private boolean isDirectoryStale() {
         return directoryAway || System.nanoTime() - directoryAnsweredNanos > STALE_NANOS;
     }
@@ -262,16 +258,6 @@
                 mirror.applyConfiguration(item, "store");
             }
         }
-
-        @Override
-        public void answered() {
-            // The directory's watch tells when the store is back.
-        }
-
-        @Override
-        public void unanswered() {
-            // Other nodes send a newer configuration if they have one.
-        }
     }
 
     private final class EndpointWatch implements StoreWatch.Listener {
@@ -346,15 +332,5 @@
                 duties.keyMissing(key, revision);
             }
         }
-
-        @Override
-        public void answered() {
-            // The directory's watch tells when the store is back.
-        }
-
-        @Override
-        public void unanswered() {
-            // The directory's watch tells when the store is away.
-        }
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
@@ -23,7 +23,6 @@
 import org.carobdoor.node.gateway.settings.GatewayBounds;
 import org.carobdoor.platform.CloudCalls;
 import org.carobdoor.platform.HttpCall;
-import org.carobdoor.platform.HttpReply;
 
 /**
  * The duties that one node performs for all: usage reports and orders of endpoints. Belongs to the
@@ -241,12 +240,12 @@
     private void perform(UsageStep step) {
         switch (step) {
             case UsageStep.Wait w -> {}
-            case UsageStep.Record(Map<Long, Map<String, Long>> windows) -> record(windows);
+            case UsageStep.Record(Map<Long, Map<String, Long>> records) -> record(records);
             case UsageStep.Report(long window, Map<String, Long> counts) -> report(window, counts);
         }
     }
 
-    private void record(Map<Long, Map<String, Long>> windows) {
+    private void record(Map<Long, Map<String, Long>> records) {
         usageStepOpen = true;
         Map<String, Long> conditions = new HashMap<>();
         conditions.put(OwnKeys.USAGE, usageRevision);
@@ -255,14 +254,14 @@
         store.write(
                 conditions,
                 OwnKeys.USAGE,
-                UsageRecord.encode(windows),
+                UsageRecord.encode(records),
                 0,
                 answer -> {
                     usageStepOpen = false;
                     if (answer instanceof StoreAnswer.Written(long revision)
                             && revision > usageRevision) {
                         usageRevision = revision;
-                        reports.storeHolds(windows);
+                        reports.storeHolds(records);
                     } else {
                         reports.retryLater(clusterMillis.getAsLong());
                     }
@@ -275,10 +274,7 @@
                 CloudCalls.usage(node, tenure.fence(), window, counts),
                 outcome -> {
                     usageStepOpen = false;
-                    int status =
-                            outcome instanceof PlatformClient.Outcome.Replied(HttpReply r)
-                                    ? r.status()
-                                    : 0;
+                    int status = outcome.status();
                     log.line("usage.reported")
                             .add("window", window)
                             .add("counts", new TreeMap<>(counts))
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetDriver.java
@@ -16,7 +16,6 @@
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.platform.CloudCalls;
 import org.carobdoor.platform.HttpCall;
-import org.carobdoor.platform.HttpReply;
 
 /**
  * Measures the load of the services whose endpoints may be ordered, and orders them while this node
@@ -149,10 +148,7 @@
         sender.send(
                 call,
                 outcome -> {
-                    int status =
-                            outcome instanceof PlatformClient.Outcome.Replied(HttpReply r)
-                                    ? r.status()
-                                    : 0;
+                    int status = outcome.status();
                     log.line("fleet.ordered")
                             .add("service", service.name())
                             .add("zone", t.zone())
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
@@ -28,9 +28,4 @@
         return Optional.of(
                 new PeerAddress(run, new InetSocketAddress(parts[0], Integer.parseInt(parts[1]))));
     }
-
-    /** Returns the name of the node that {@code run} is a run of. */
-    static String nodeOf(String run) {
-        return run.substring(0, Math.max(0, run.lastIndexOf('@')));
-    }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
@@ -174,8 +174,8 @@
     /** Returns the number of nodes that may be serving, this one included. */
     int nodeCount() {
         Set<String> names = new HashSet<>();
-        addresses.keySet().forEach(id -> names.add(PeerAddress.nodeOf(id.value())));
-        names.add(PeerAddress.nodeOf(run));
+        addresses.keySet().forEach(id -> names.add(NodeStatus.nodeOf(id.value())));
+        names.add(NodeStatus.nodeOf(run));
         return census.count(names, System.nanoTime());
     }
 
@@ -240,12 +240,12 @@
     }
 
     private boolean isReplaced(String peerRun) {
-        String node = PeerAddress.nodeOf(peerRun);
+        String node = NodeStatus.nodeOf(peerRun);
         return addresses.keySet().stream()
                 .anyMatch(
                         id ->
                                 !id.value().equals(peerRun)
-                                        && PeerAddress.nodeOf(id.value()).equals(node)
+                                        && NodeStatus.nodeOf(id.value()).equals(node)
                                         && isHeard(id.value()));
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
@@ -44,6 +44,11 @@
 
         /** No reply arrived: the call may have been carried out, or may be later. */
         record NoReply(String detail) implements Outcome {}
+
+        /** Returns the status of the reply; 0 if there was none. */
+        default int status() {
+            return this instanceof Replied(HttpReply reply) ? reply.status() : 0;
+        }
     }
 
     /** Receives the outcome of a call, once. */
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -24,10 +24,10 @@
         void changed(List<StoreChange> changes, long revision);
 
         /** The store has answered a call of this watch. */
-        void answered();
+        default void answered() {}
 
         /** The store has not answered, or has refused, a call of this watch. */
-        void unanswered();
+        default void unanswered() {}
     }
 
     private static final long FIRST_RETRY_MILLIS = 100;
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -34,7 +34,6 @@
     private boolean skipping;
     private boolean reusable = true;
     private boolean broken;
-    private boolean used;
     private long idleSinceNanos;
     private long idleLimitNanos;
 
@@ -53,11 +52,6 @@
         return channel != null && channel.isActive() && !broken;
     }
 
-    /** Returns whether an earlier request was answered on this connection. */
-    boolean isUsed() {
-        return used;
-    }
-
     long idleNanos(long nowNanos) {
         return nowNanos - idleSinceNanos;
     }
@@ -158,7 +152,6 @@
 
     private void end(AnswerListener l) {
         listener = null;
-        used = true;
         boolean bodySent = written != null && written.isSuccess();
         if (reusable && bodySent && isOpen()) {
             idleSinceNanos = System.nanoTime();
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Send.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Send.java
@@ -57,11 +57,6 @@
         connection().send(request, id, new Releasing(listener));
     }
 
-    /** Returns whether the connection has carried an earlier request. */
-    public boolean isReused() {
-        return connection().isUsed();
-    }
-
     /** Stops or resumes reading the answer. */
     public void setReading(boolean reading) {
         if (connection != null && connection.isOpen()) {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -14,13 +14,13 @@
 import org.carobdoor.internal.deployment.Route;
 import org.carobdoor.internal.deployment.RouteKind;
 import org.carobdoor.internal.deployment.Service;
+import org.carobdoor.internal.fleet.EngineWork;
 import org.carobdoor.internal.placement.EndpointLoad;
 import org.carobdoor.internal.placement.EnginePlacement;
 import org.carobdoor.internal.placement.Placement;
 import org.carobdoor.internal.placement.PlainPlacement;
 import org.carobdoor.internal.request.EndpointAnswer;
 import org.carobdoor.internal.request.Prompt;
-import org.carobdoor.internal.request.PromptPart;
 import org.carobdoor.node.gateway.endpoint.Endpoint;
 import org.carobdoor.node.gateway.front.Exchange;
 import org.carobdoor.node.gateway.front.Refusal;
@@ -51,15 +51,6 @@
     /** Share of the time to the deadline that a queue may take before a request is refused. */
     private static final double PATIENCE_SHARE = 0.5;
 
-    /** Engine time that a generated token adds to a step which other requests share. */
-    private static final double MILLIS_PER_GENERATED_TOKEN = 0.1;
-
-    /** Prompt tokens that an engine reads in a millisecond when nothing else runs. */
-    private static final double READ_TOKENS_PER_MILLI = 50;
-
-    /** Share of the longest answer that answers have on average. */
-    private static final double ANSWER_SHARE = 0.5;
-
     private final CallContext call;
     private final ForwardingState state;
     private final Exchange exchange;
@@ -96,18 +87,10 @@
         state.budget(service.name()).onRequest();
         long left = call.deadlineNanos() - System.nanoTime();
         deadlineTimer = state.loop().schedule(this::timeOut, left, TimeUnit.NANOSECONDS);
-        call.request().prompt().ifPresent(p -> state.addWork(service.name(), engineMillis(p)));
+        call.request().prompt().ifPresent(p -> state.addWork(service.name(), EngineWork.millis(p)));
         place();
     }
 
-    /** Returns the engine time that a prompt takes whose shared parts are cached. */
-    private static double engineMillis(Prompt p) {
-        int shared =
-                p.parts().subList(0, p.sharedParts()).stream().mapToInt(PromptPart::tokens).sum();
-        return Math.max(0, p.promptTokens() - shared) / READ_TOKENS_PER_MILLI
-                + p.answerTokens() * ANSWER_SHARE * MILLIS_PER_GENERATED_TOKEN;
-    }
-
     private void place() {
         long now = System.nanoTime();
         if (call.millisLeft(now) < EndpointAttempt.MIN_SEND_MILLIS) {
--- a/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
@@ -42,7 +42,6 @@
     private final ByteBuf body;
     private final long arrivedNanos;
     private @Nullable Listener listener;
-    private boolean started;
     private boolean ended;
 
     Exchange(CallerHandler handler, Channel channel, HttpRequest head, ByteBuf body, long arrived) {
@@ -78,11 +77,6 @@
         return ended;
     }
 
-    /** Returns whether the head of the answer was written. */
-    public boolean isStarted() {
-        return started;
-    }
-
     /** Answers with a status of this node's own. */
     public void refuse(Refusal refusal) {
         ByteBuf json = Unpooled.copiedBuffer(refusal.json(), StandardCharsets.UTF_8);
@@ -109,7 +103,6 @@
 
     /** Begins an answer whose length is not known. */
     public void startStream(HttpResponse from) {
-        started = true;
         DefaultHttpResponse r = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.status());
         EndpointHeaders.passToCaller(from.headers(), r.headers());
         HttpUtil.setTransferEncodingChunked(r, true);
@@ -167,7 +160,6 @@
             r.release();
             return;
         }
-        started = true;
         boolean toHead = head.method().equals(HttpMethod.HEAD);
         if (!toHead) {
             r.headers().set(HttpHeaderNames.CONTENT_LENGTH, r.content().readableBytes());
