Keep a node's new run in the list of peers when the node restarts quickly

A node that started again within three seconds was listed while its former run still counted as heard; the rule that drops a replaced run did not look at which of the two was the later one and dropped the new run. The store tells of an entry once, so it stayed missing.

Change: PeerRuns in core decides which runs exist; the later run of a node is the one whose entry has the higher revision. A run that was unlisted while it was heard ends when it falls silent. A node whose own entry has disappeared lists itself again.

What is left are counts in the wrong window after a suspension, and windows that are late because a former run of the holder itself is waited for.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -319,7 +319,8 @@
         private void written(StoreItem item) {
             if (item.key().startsWith(OwnKeys.NODES)) {
                 String peerRun = item.key().substring(OwnKeys.NODES.length());
-                PeerAddress.fromValue(peerRun, item.value()).ifPresent(peers::listed);
+                PeerAddress.fromValue(peerRun, item.value())
+                        .ifPresent(p -> peers.listed(p, item.revision()));
             } else if (duties != null) {
                 duties.keyWritten(item);
             }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +11,7 @@
 import java.util.function.Supplier;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.NodeId;
+import org.carobdoor.internal.peers.PeerRuns;
 import org.carobdoor.internal.quota.NodeCensus;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.message.NodeStatus;
@@ -22,10 +21,8 @@
 import org.carobdoor.wire.TcpPeerNetwork;
 
 /**
- * The other nodes: listed in the store under leases, and heard directly several times a second.
- *
- * <p>A node whose key is gone still counts while it is heard, since keys lapse when the store is
- * away. Belongs to the event loop.
+ * Lists this node in the store, and exchanges statuses with the other nodes that are listed there.
+ * Belongs to the event loop.
  */
 final class Peers {
     /** Is told what other nodes say. */
@@ -40,7 +37,6 @@
     private static final long LEASE_MILLIS = 9_000;
     private static final long RENEW_MILLIS = 3_000;
     private static final long RETRY_MILLIS = 500;
-    private static final long HEARD_NANOS = 3_000_000_000L;
 
     /** Three statuses of each node of a zone are missing: the zone is cut off, or all are gone. */
     private static final long ZONE_SILENT_NANOS = 650_000_000L;
@@ -64,12 +60,12 @@
     private final DecisionLog log;
     private final Map<NodeId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
     private final NodeCensus census = NodeCensus.create();
-    private final Map<String, Long> heardAtNanos = new HashMap<>();
-    private final Map<String, AvailabilityZone> zones = new HashMap<>();
+    private final PeerRuns runs;
     private final AvailabilityZone ownZone;
     private final Supplier<NodeStatus> status;
     private final BooleanSupplier directoryStale;
     private long lease;
+    private boolean entryMissing;
     private long behindSinceNanos;
     private boolean stopped;
 
@@ -91,6 +87,7 @@
         this.self = self;
         this.ownZone = ownZone;
         this.run = self.run();
+        this.runs = PeerRuns.create(run);
         this.status = status;
         this.directoryStale = directoryStale;
         this.listener = listener;
@@ -131,84 +128,59 @@
         }
     }
 
-    /** Notes that the store lists a run of a node. */
-    void listed(PeerAddress peer) {
-        if (!peer.run().equals(run)
-                && addresses.put(new NodeId(peer.run()), peer.address()) == null) {
+    /** Notes that the store lists a run of a node, in an entry of this revision. */
+    void listed(PeerAddress peer, long revision) {
+        if (peer.run().equals(run)) {
+            entryMissing = false;
+            return;
+        }
+        addresses.put(new NodeId(peer.run()), peer.address());
+        if (runs.listed(peer.run(), revision)) {
             log.line("peer.listed").add("peer", peer.run()).write();
         }
     }
 
     /** Notes that the store lists a run no more. */
     void unlisted(String peerRun) {
-        if (!isHeard(peerRun)) {
-            forget(peerRun);
+        if (peerRun.equals(run)) {
+            entryMissing = true;
+        } else {
+            runs.unlisted(peerRun);
         }
     }
 
     /** Notes that exactly these runs are listed. */
-    void listedExactly(Set<String> runs) {
-        for (NodeId id : Set.copyOf(addresses.keySet())) {
-            if (!runs.contains(id.value())) {
-                unlisted(id.value());
-            }
-        }
+    void listedExactly(Set<String> listed) {
+        entryMissing = !listed.contains(run);
+        runs.listedExactly(listed);
     }
 
     /** Returns the zones of other nodes, none of whose nodes has been heard lately. */
     Set<AvailabilityZone> silentZones() {
-        long now = System.nanoTime();
         long silence = ZONE_SILENT_NANOS + STATUS_MILLIS_PER_NODE * 1_000_000L * addresses.size();
-        Set<AvailabilityZone> silent = new HashSet<>();
-        Set<AvailabilityZone> heard = new HashSet<>();
-        zones.forEach(
-                (peerRun, zone) -> {
-                    Long at = heardAtNanos.get(peerRun);
-                    (at != null && now - at < silence ? heard : silent).add(zone);
-                });
-        silent.removeAll(heard);
+        Set<AvailabilityZone> silent = runs.silentZones(silence, System.nanoTime());
         silent.remove(ownZone);
         return silent;
     }
 
     /** Returns the number of nodes that may be serving, this one included. */
     int nodeCount() {
-        Set<String> names = new HashSet<>();
-        addresses.keySet().forEach(id -> names.add(NodeStatus.nodeOf(id.value())));
-        names.add(NodeStatus.nodeOf(run));
-        return census.count(names, System.nanoTime());
+        return census.count(runs.nodeNames(), System.nanoTime());
     }
 
-    /** Returns whether every other node was heard within the last second or so. */
+    /** Returns whether every other node has been heard lately. */
     boolean allHeard() {
-        return addresses.keySet().stream().allMatch(id -> isHeard(id.value()));
-    }
-
-    private boolean isHeard(String peerRun) {
-        Long at = heardAtNanos.get(peerRun);
-        return at != null && System.nanoTime() - at < HEARD_NANOS;
-    }
-
-    private void forget(String peerRun) {
-        heardAtNanos.remove(peerRun);
-        zones.remove(peerRun);
-        if (addresses.remove(new NodeId(peerRun)) != null) {
-            log.line("peer.gone").add("peer", peerRun).write();
-            listener.gone(peerRun);
-        }
+        return runs.allHeard(System.nanoTime());
     }
 
     private void received(NodeStatus m) {
-        heardAtNanos.put(m.run(), System.nanoTime());
-        if (!m.zone().isBlank()) {
-            zones.put(m.run(), new AvailabilityZone(m.zone()));
-        }
+        long now = System.nanoTime();
+        runs.heard(m.run(), m.zone().isBlank() ? null : new AvailabilityZone(m.zone()), now);
         listener.status(m);
         boolean behind =
                 m.configurationRevision() > mirror.configurationRevision()
                         || (directoryStale.getAsBoolean()
                                 && m.directoryRevision() > mirror.directoryRevision());
-        long now = System.nanoTime();
         if (!behind) {
             return;
         }
@@ -231,24 +203,13 @@
         addresses.keySet().forEach(id -> network.send(id, s));
         long interval = Math.max(MIN_STATUS_MILLIS, STATUS_MILLIS_PER_NODE * addresses.size());
         loop.schedule(this::sendStatus, interval, TimeUnit.MILLISECONDS);
-        for (NodeId id : Set.copyOf(addresses.keySet())) {
-            // A run that has been replaced by a later one of the same node is never heard again.
-            if (!isHeard(id.value()) && isReplaced(id.value())) {
-                forget(id.value());
-            }
+        for (String ended : runs.removeEnded(System.nanoTime())) {
+            addresses.remove(new NodeId(ended));
+            log.line("peer.gone").add("peer", ended).write();
+            listener.gone(ended);
         }
     }
 
-    private boolean isReplaced(String peerRun) {
-        String node = NodeStatus.nodeOf(peerRun);
-        return addresses.keySet().stream()
-                .anyMatch(
-                        id ->
-                                !id.value().equals(peerRun)
-                                        && NodeStatus.nodeOf(id.value()).equals(node)
-                                        && isHeard(id.value()));
-    }
-
     private void register() {
         if (stopped) {
             return;
@@ -284,6 +245,13 @@
         if (stopped) {
             return;
         }
+        if (entryMissing) {
+            // A write without a reply can be carried out late and bind the entry to a lease that
+            // has been given up; the entry ends with that lease while the new one goes on.
+            log.line("peer.entry_missing").add("lease", lease).write();
+            register();
+            return;
+        }
         store.renewLease(
                 lease,
                 answer -> {
