Keep watches and periodic tasks alive when a listener fails

Cause: a key below the endpoints' or the nodes' prefix that names nothing ("servers/", "carobdoor/nodes/") made the listener of a watch throw. The error was swallowed by the connection's handler and the watch never asked the store again: the node served on with the endpoints it knew then. A periodic task that throws is cancelled by the event loop without a word.

Change: keys that name nothing are skipped where keys are decoded; a GuardedTask logs what a listener, a reply's receiver or a periodic task throws, and goes on. A holder that stops while the store is away repeats the end of its lease, so that the next one need not wait for it.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.duty.ClusterClock;
@@ -74,7 +73,7 @@
         this.run = run;
         this.startedAtMillis = startedAtMillis;
         this.log = log;
-        store = new Store(loop, settings.store());
+        store = new Store(loop, settings.store(), log);
         mirror = new Mirror(directory, state, log);
         clock = ClusterClock.start(System.nanoTime(), System.currentTimeMillis());
         peers =
@@ -134,7 +133,7 @@
         if (duties != null) {
             duties.start();
         }
-        loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        GuardedTask.repeat(loop, "control", this::tick, TICK_MILLIS, log);
     }
 
     /** Returns whether the node knows enough to serve. */
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
@@ -77,7 +77,7 @@
             DecisionLog log) {
         this.loop = loop;
         this.store = store;
-        this.cloud = new PlatformClient(loop, cloudAddress);
+        this.cloud = new PlatformClient(loop, cloudAddress, log);
         this.tenure = tenure;
         this.windows = windows;
         this.reports = UsageReports.create(windows);
@@ -96,18 +96,26 @@
     }
 
     void start() {
-        loop.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(
+        GuardedTask.repeat(loop, "duties", this::tick, TICK_MILLIS, log);
+        GuardedTask.repeat(
+                loop,
+                "fleet",
                 () -> fleet.tick(bounds.ordersEndpoints() && isHolder(), run),
                 FLEET_TICK_MILLIS,
-                FLEET_TICK_MILLIS,
-                TimeUnit.MILLISECONDS);
+                log);
     }
 
     /** Gives the duties up, so that another node need not wait for the end of the lease. */
     void stop() {
         OptionalLong lease = tenure.release(System.nanoTime());
-        lease.ifPresent(store::endLease);
+        lease.ifPresent(this::endLease);
+    }
+
+    private void endLease(long lease) {
+        // The next holder can take over as soon as the store is back; leases are extended then.
+        store.endLease(
+                lease,
+                () -> loop.schedule(() -> endLease(lease), TICK_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     /** Returns whether this node holds the duties now. */
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
@@ -119,7 +119,8 @@
                 }
                 case StoreChange.Deleted(String key, long revision) -> {
                     endpointItems.remove(key);
-                    directory.remove(EndpointDecoder.idOf(key), revision, System.nanoTime());
+                    EndpointDecoder.idOf(key)
+                            .ifPresent(id -> directory.remove(id, revision, System.nanoTime()));
                 }
             }
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.carobdoor.Bytes;
+import org.carobdoor.message.NodeStatus;
 
 /**
  * A run of a node as it is listed in the store.
@@ -17,10 +18,11 @@
         return Bytes.utf8(address.getAddress().getHostAddress() + " " + address.getPort());
     }
 
-    /** Reads the value of the node's key; empty if it is malformed. */
+    /** Reads the value of the node's key; empty if it or the key is malformed. */
     static Optional<PeerAddress> fromValue(String run, Bytes value) {
         String[] parts = value.toUtf8().split(" ", -1);
-        if (parts.length != 2
+        if (NodeStatus.nodeOf(run).isEmpty()
+                || parts.length != 2
                 || !parts[0].matches("[0-9.]{7,15}")
                 || !parts[1].matches("\\d{1,5}")) {
             return Optional.empty();
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
@@ -124,7 +124,8 @@
     void stop() {
         stopped = true;
         if (lease != 0) {
-            store.endLease(lease);
+            // The process ends now; without an answer the entry lapses with its lease.
+            store.endLease(lease, () -> {});
         }
     }
 
@@ -199,10 +200,14 @@
         if (stopped) {
             return;
         }
-        NodeStatus s = status.get();
-        addresses.keySet().forEach(id -> network.send(id, s));
         long interval = Math.max(MIN_STATUS_MILLIS, STATUS_MILLIS_PER_NODE * addresses.size());
         loop.schedule(this::sendStatus, interval, TimeUnit.MILLISECONDS);
+        GuardedTask.run("status", this::exchangeStatus, log);
+    }
+
+    private void exchangeStatus() {
+        NodeStatus s = status.get();
+        addresses.keySet().forEach(id -> network.send(id, s));
         for (String ended : runs.removeEnded(System.nanoTime())) {
             addresses.remove(new NodeId(ended));
             log.line("peer.gone").add("peer", ended).write();
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
@@ -25,6 +25,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
+import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.platform.HttpCall;
 import org.carobdoor.platform.HttpReply;
 import org.jspecify.annotations.Nullable;
@@ -65,11 +66,13 @@
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final EventLoop loop;
     private final InetSocketAddress address;
+    private final DecisionLog log;
     private long calls;
 
-    PlatformClient(EventLoop loop, InetSocketAddress address) {
+    PlatformClient(EventLoop loop, InetSocketAddress address, DecisionLog log) {
         this.loop = loop;
         this.address = address;
+        this.log = log;
     }
 
     /** Returns the number of calls made. */
@@ -220,7 +223,7 @@
                 closeChannel();
             }
             if (to != null) {
-                to.ended(outcome);
+                GuardedTask.run("platform reply", () -> to.ended(outcome), log);
             }
         }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Store.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Store.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import org.carobdoor.Bytes;
 import org.carobdoor.internal.store.StoreAnswer;
+import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.platform.HttpCall;
 import org.carobdoor.platform.HttpReply;
 import org.carobdoor.platform.StoreCalls;
@@ -22,8 +23,8 @@
 
     private final PlatformClient client;
 
-    Store(EventLoop loop, InetSocketAddress address) {
-        client = new PlatformClient(loop, address);
+    Store(EventLoop loop, InetSocketAddress address, DecisionLog log) {
+        client = new PlatformClient(loop, address, log);
     }
 
     long calls() {
@@ -67,9 +68,16 @@
                 to);
     }
 
-    void endLease(long lease) {
-        // Nothing depends on the reply: the lease ends by itself soon after.
-        client.call(StoreCalls.endLease(lease), CALL_TIMEOUT_MILLIS, outcome -> {});
+    /** Ends a lease; {@code unanswered} runs if the store has not answered. */
+    void endLease(long lease, Runnable unanswered) {
+        client.call(
+                StoreCalls.endLease(lease),
+                CALL_TIMEOUT_MILLIS,
+                outcome -> {
+                    if (!(outcome instanceof PlatformClient.Outcome.Replied)) {
+                        unanswered.run();
+                    }
+                });
     }
 
     private void call(
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -92,7 +92,7 @@
                             }
                             noteAnswer();
                             revision = first;
-                            listener.loaded(all, first);
+                            tell(() -> listener.loaded(all, first));
                             watch();
                         }
                         default -> retry(answer, this::start);
@@ -110,7 +110,7 @@
                         case StoreAnswer.Changes(List<StoreChange> changes, long newRevision) -> {
                             noteAnswer();
                             revision = Math.max(revision, newRevision);
-                            listener.changed(changes, revision);
+                            tell(() -> listener.changed(changes, newRevision));
                             if (changes.isEmpty()) {
                                 watch();
                             } else {
@@ -126,6 +126,11 @@
                 });
     }
 
+    /** A listener that fails does not end the watch. */
+    private void tell(Runnable message) {
+        GuardedTask.run("watch of " + prefix, message, log);
+    }
+
     private void noteAnswer() {
         retryMillis = FIRST_RETRY_MILLIS;
         if (away) {
--- a/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
@@ -44,6 +44,13 @@
         return new Line(event);
     }
 
+    /** Writes that a step has failed with an error of the program, with its stack. */
+    public void failed(String step, RuntimeException e) {
+        if (isAllowed()) {
+            logger.error("step.failed step={}", step, e);
+        }
+    }
+
     /** Returns how many lines were left out since the start. */
     public long leftOut() {
         return leftOutTotal.get();
--- a/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
@@ -179,6 +179,33 @@
         TestGateway.await(() -> node.get("/new/a").statusCode() == 200);
     }
 
+    @Test
+    void entriesWithoutANameDoNotEndTheWatches() throws InterruptedException {
+        for (String key : List.of("servers/", "carobdoor/nodes/", "carobdoor/nodes/@")) {
+            store.put(key, "127.0.0.1 9");
+            store.delete(key);
+        }
+        first.register(store, "desk", "draining");
+        second.register(store, "desk", "draining");
+        BackendStandIn third = BackendStandIn.start("i-5");
+        try (third;
+                TestGateway other = TestGateway.start("n2", store, cloud)) {
+            third.register(store, "desk", "ready");
+            TestGateway.await(() -> node.get("/safe/a").statusCode() == 200);
+            TestGateway.await(() -> !third.ledger().isEmpty());
+            TestGateway.await(other::isReady);
+            TestGateway.await(() -> node.nodeCount() == 2);
+        }
+    }
+
+    @Test
+    void nodeWhoseEntryIsLostListsItselfAgain() throws InterruptedException {
+        List<String> entries = store.keys("carobdoor/nodes/");
+        assertThat(entries).hasSize(1);
+        store.delete(entries.getFirst());
+        TestGateway.await(() -> store.keys("carobdoor/nodes/").equals(entries));
+    }
+
     @Test
     void nodeServesOnWhileTheStoreIsAwayAndAfterItsHistoryIsGone() throws InterruptedException {
         store.setDown(true);
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -114,6 +114,14 @@
         }
     }
 
+    /** Returns how many nodes this one believes to be serving. */
+    int nodeCount() {
+        String metrics =
+                send(HttpRequest.newBuilder(uri(settings.metrics(), "/metrics")).build()).body();
+        return Integer.parseInt(
+                metrics.replaceAll("(?s).*\ncarobdoor_gateway_nodes (\\d+)\n.*", "$1"));
+    }
+
     HttpResponse<String> get(String path) {
         return send(request(path).GET().build());
     }
