Do not set the clock back by statuses that arrive late

Cause: after a freeze the statuses that waited in the connections of all other nodes are read at once. The first ones are seconds old, so the median told the node to set its clock back by the length of the freeze, until the newest ones were read. A second cause of late reports: the entry of the holder's own former run stays listed until its lease ends, and the reports waited for it.

Change: the clock moves forward at once, back only after the nodes have been behind for a second. A listed run of this node's own name that is not this run has ended.

--- a/core/src/main/java/org/carobdoor/internal/duty/ClusterClock.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/ClusterClock.java
@@ -9,7 +9,11 @@
  *
  * <p>The clock of day of a VM can jump by seconds, and the steady clock stands still while the VM
  * is suspended. This clock runs with the steady clock and moves to the median of the nodes when it
- * differs from it by more than {@link #TOLERANCE_MILLIS}. Belongs to one thread.
+ * differs from it by more than {@link #TOLERANCE_MILLIS}.
+ *
+ * <p>A status can arrive seconds after it was sent, all at once when this VM goes on after a stand
+ * still. So the others' times are lower bounds: the clock moves forward at once, and back only
+ * after the nodes have been behind for {@link #BACK_NANOS}. Belongs to one thread.
  */
 public final class ClusterClock {
     /** More than two healthy clocks differ, and much less than the windows that are counted. */
@@ -18,12 +22,17 @@
     /** Differences older than this are left out. */
     private static final long FRESH_NANOS = 1_500_000_000L;
 
+    /** Five statuses of each node; a backlog of late ones is read within milliseconds. */
+    private static final long BACK_NANOS = 1_000_000_000L;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private record Difference(long millis, long heardAtNanos) {}
 
     private final Map<String, Difference> peers = new HashMap<>();
     private long offsetMillis;
+    private boolean ahead;
+    private long aheadSinceNanos;
 
     private ClusterClock(long offsetMillis) {
         this.offsetMillis = offsetMillis;
@@ -50,8 +59,15 @@
         }
         Arrays.sort(differences);
         long median = differences[differences.length / 2];
-        if (Math.abs(median) > TOLERANCE_MILLIS) {
+        boolean wasAhead = ahead;
+        ahead = median < -TOLERANCE_MILLIS;
+        if (ahead && !wasAhead) {
+            aheadSinceNanos = nowNanos;
+        }
+        boolean back = ahead && nowNanos - aheadSinceNanos >= BACK_NANOS;
+        if (back || median > TOLERANCE_MILLIS) {
             offsetMillis += median;
+            ahead = false;
             peers.clear();
         }
     }
--- a/core/src/main/java/org/carobdoor/internal/peers/PeerRuns.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/PeerRuns.java
@@ -124,12 +124,15 @@
     }
 
     /**
-     * Returns whether a later run of the same node is heard. Which run is later is told by the
-     * revisions: a run that has just been listed is not heard yet, while the one before it was
-     * heard a moment ago, and the start times come from clocks that can be set back.
+     * Returns whether a later run of the same node is heard, or is this one. Which run is later is
+     * told by the revisions: a run that has just been listed is not heard yet, while the one before
+     * it was heard a moment ago, and the start times come from clocks that can be set back.
      */
     private boolean isReplaced(String run, Run r, long nowNanos) {
         String node = NodeStatus.nodeOf(run);
+        if (node.equals(NodeStatus.nodeOf(ownRun))) {
+            return true;
+        }
         for (Map.Entry<String, Run> other : runs.entrySet()) {
             if (other.getValue().revision > r.revision
                     && other.getValue().isHeard(nowNanos)
--- a/core/src/test/java/org/carobdoor/internal/duty/ClusterClockTest.java
+++ b/core/src/test/java/org/carobdoor/internal/duty/ClusterClockTest.java
@@ -22,6 +22,33 @@
         assertThat(clock.millis(1_000 * MS)).isAtLeast(55_000);
     }
 
+    @Test
+    void backlogOfOldStatusesMovesNothing() {
+        // Seen on sharkawy-bales trouble-2 --seed 13: after a freeze of 7 s the first of the
+        // waiting
+        // statuses of all nodes set the clock back, and hundreds of requests were counted in the
+        // window before.
+        ClusterClock clock = ClusterClock.start(0, 50_000);
+        long now = 8_000 * MS;
+        for (long sent = 51_000; sent < 58_000; sent += 200) {
+            clock.report("a", sent, now);
+            clock.report("b", sent, now);
+            clock.report("c", sent, now);
+            assertThat(clock.millis(now)).isEqualTo(58_000);
+            now += 10_000;
+        }
+    }
+
+    @Test
+    void clockThatIsAheadOfTheOthersGoesBackAfterASecond() {
+        ClusterClock clock = ClusterClock.start(0, 53_000);
+        for (long ms = 200; ms <= 2_000; ms += 200) {
+            clock.report("a", 50_000 + ms, ms * MS);
+            clock.report("b", 50_000 + ms, ms * MS);
+        }
+        assertThat(clock.millis(2_000 * MS)).isEqualTo(52_000);
+    }
+
     @Test
     void oneWrongClockMovesNobody() {
         ClusterClock clock = ClusterClock.start(0, 50_000);
--- a/core/src/test/java/org/carobdoor/internal/peers/PeerRunsTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/PeerRunsTest.java
@@ -78,6 +78,14 @@
         assertThat(runs.removeEnded(0)).isEqualTo(List.of("b@1"));
     }
 
+    @Test
+    void formerRunOfThisNodeHasEnded() {
+        // Its entry stays listed until its lease ends; the holder of the duties waited for it.
+        runs.listed("own@0", 5);
+
+        assertThat(runs.removeEnded(0)).containsExactly("own@0");
+    }
+
     @Test
     void ownRunIsNoPeer() {
         assertThat(runs.listed("own@1", 10)).isFalse();
