Pass over endpoints to which a node has no free connection

Cause: a node that goes on after a freeze sends its waiting requests at once.

Change: EndpointLoad knows the node's share of the connections; a full endpoint is passed over, and when all are full the request is refused as saturated at once.

--- a/core/src/main/java/org/carobdoor/internal/placement/BestChoice.java
+++ b/core/src/main/java/org/carobdoor/internal/placement/BestChoice.java
@@ -12,14 +12,22 @@
     private @Nullable EndpointLoad best;
     private double bestMillis = Double.MAX_VALUE;
     private int bestUnread;
+    private boolean anyFull;
 
     /** Creates a choice of a node in {@code zone}. */
     BestChoice(AvailabilityZone zone) {
         this.zone = zone;
     }
 
-    /** Offers an endpoint; the way to another zone is added to {@code millis}. */
+    /**
+     * Offers an endpoint, which is passed over if it is full; the way to another zone is added to
+     * {@code millis}.
+     */
     void offer(EndpointLoad e, double millis, int unread) {
+        if (e.isFull()) {
+            anyFull = true;
+            return;
+        }
         double total = e.entry().zone().equals(zone) ? millis : millis + OTHER_ZONE_MILLIS;
         if (total < bestMillis) {
             best = e;
@@ -35,7 +43,7 @@
      */
     Placement result(double patienceMillis, long minRetryMillis) {
         if (best == null) {
-            return new Placement.NoEndpoint();
+            return anyFull ? new Placement.Saturated(minRetryMillis) : new Placement.NoEndpoint();
         }
         if (bestMillis > patienceMillis) {
             long excess = Math.round(bestMillis - patienceMillis);
--- a/core/src/main/java/org/carobdoor/internal/placement/EndpointLoad.java
+++ b/core/src/main/java/org/carobdoor/internal/placement/EndpointLoad.java
@@ -30,6 +30,7 @@
     private final long identityHash;
     private EndpointEntry entry;
     private int running;
+    private int maxRunning = Integer.MAX_VALUE;
     private long unreadTokens;
     private long heldTokens;
     private int othersRunning;
@@ -77,6 +78,16 @@
         return parts;
     }
 
+    /** Sets how many requests this node may have at the endpoint: its share of the connections. */
+    public void setMaxRunning(int max) {
+        maxRunning = max;
+    }
+
+    /** Returns whether this node has as many requests at the endpoint as it may. */
+    public boolean isFull() {
+        return running >= maxRunning;
+    }
+
     /** Notes that a request was sent. */
     public void sent(int unread, long totalTokens, long nowNanos) {
         if (running == 0) {
--- a/core/src/test/java/org/carobdoor/internal/placement/PlainPlacementTest.java
+++ b/core/src/test/java/org/carobdoor/internal/placement/PlainPlacementTest.java
@@ -43,6 +43,20 @@
         assertThat(choose(endpoint("i-1", "b"), own)).isSameInstanceAs(own);
     }
 
+    @Test
+    void endpointToWhichAllConnectionsAreInUseIsPassedOver() {
+        // Seen on sharkawy-bales trouble-2 --seed 13: after a freeze the waiting requests were sent
+        // to endpoints without a free connection, which were then taken for unreachable.
+        EndpointLoad own = endpoint("i-2", "a");
+        EndpointLoad other = endpoint("i-1", "b");
+        own.setMaxRunning(1);
+        own.sent(0, 0, 0);
+        assertThat(choose(own, other)).isSameInstanceAs(other);
+        other.setMaxRunning(0);
+        assertThat(PlainPlacement.choose(List.of(own, other), ZONE, 1_000, 0))
+                .isInstanceOf(Placement.Saturated.class);
+    }
+
     @Test
     void slowEndpointGetsLess() {
         EndpointLoad slow = endpoint("i-1", "a");
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -19,6 +19,7 @@
         connections =
                 new EndpointConnections(
                         loop, entry.address(), maxConnections, load::heard, connectionOpened);
+        load.setMaxRunning(maxConnections);
     }
 
     /** Returns its load. */
@@ -31,6 +32,12 @@
         return new Send(connections, maxIdleNanos);
     }
 
+    /** Sets how many connections this node may have to the endpoint. */
+    void setMaxConnections(int max) {
+        connections.setMaxOpen(max);
+        load.setMaxRunning(max);
+    }
+
     EndpointConnections connections() {
         return connections;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -112,7 +112,7 @@
         configuration = Optional.of(newConfiguration);
         nodes = Math.max(1, nodeCount);
         for (Endpoint e : byId.values()) {
-            e.connections().setMaxOpen(maxConnections(e.load().entry().service()));
+            e.setMaxConnections(maxConnections(e.load().entry().service()));
         }
     }
 
