End the use of lapsed entries within the bound for removed endpoints

Entries that lapsed in an outage were used for two seconds, and the end was looked for every 200 ms.

Ruled out: a watch that heard of the removal late; all nodes had regained the store within 10 ms.

Change: a missing entry gets no new requests from 1.6 s after the store's return on, and is dropped after two seconds as before. An entry that comes back in between is used again with its connections and its load.

Test: entryThatStaysMissingGetsNoRequestsTwoSecondsAfterTheOutage failed before.

--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -14,17 +14,22 @@
  * The endpoints that the platform's store lists, kept in step by its changes.
  *
  * <p>While the store is away the last known endpoints stay. Entries lapse during an outage although
- * their endpoints run, and running endpoints write them again within two seconds of its end; so an
- * entry that is missing right after an outage is kept until {@link #LAPSE_GRACE_NANOS} have passed.
+ * their endpoints run, and running endpoints write them again within about two seconds of its end.
+ * So an entry that is missing right after an outage stays in use for {@link #LAPSE_GRACE_NANOS},
+ * then gets no new requests, and is dropped after {@link #LAPSE_DROP_NANOS}.
  *
  * <p>Belongs to one thread.
  */
 public final class EndpointDirectory {
     /**
-     * How long after the store's return a missing entry is kept: a running endpoint is back within
-     * about two seconds, and the bound for the use of a removed one is two seconds.
+     * How long after the store's return a missing entry is used: the platform's bound for the use
+     * of a removed endpoint is two seconds, from which come off the time until the removal is heard
+     * of, the interval of {@link #expire}, and the way of the last request.
      */
-    public static final long LAPSE_GRACE_NANOS = 2_000_000_000L;
+    public static final long LAPSE_GRACE_NANOS = 1_600_000_000L;
+
+    /** How long after the store's return a missing entry is kept: running endpoints are back. */
+    public static final long LAPSE_DROP_NANOS = 2_000_000_000L;
 
     /** An outage this long can have let entries lapse: a lease of an entry runs over seconds. */
     private static final long LAPSING_OUTAGE_NANOS = 1_000_000_000L;
@@ -147,13 +152,15 @@
         }
     }
 
-    /** Drops the entries that stayed missing after an outage. */
+    /** Ends the use of the entries that stayed missing after an outage, then drops them. */
     public void expire(long nowNanos) {
         List<EndpointId> gone = new ArrayList<>();
         missingUntilNanos.forEach(
                 (id, until) -> {
-                    if (nowNanos - until >= 0) {
+                    if (nowNanos - until >= LAPSE_DROP_NANOS - LAPSE_GRACE_NANOS) {
                         gone.add(id);
+                    } else if (nowNanos - until >= 0) {
+                        endUse(id);
                     }
                 });
         gone.forEach(this::drop);
@@ -164,6 +171,15 @@
         return storeAway || (lapsePossible && nowNanos - lapseEndsAtNanos < 0);
     }
 
+    private void endUse(EndpointId id) {
+        Listed last = listed.get(id);
+        if (last != null && last.entry.accepting()) {
+            EndpointEntry unused = last.entry.withoutAccepting();
+            listed.put(id, new Listed(unused, last.revision));
+            listener.changed(last.entry, unused);
+        }
+    }
+
     private void drop(EndpointId id) {
         missingUntilNanos.remove(id);
         Listed last = listed.remove(id);
--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointEntry.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointEntry.java
@@ -33,6 +33,22 @@
         boolean reclaimable,
         OptionalLong leavesInMillis) {
 
+    /** Returns this entry as one that takes no new requests. */
+    public EndpointEntry withoutAccepting() {
+        return new EndpointEntry(
+                id,
+                service,
+                address,
+                zone,
+                false,
+                slots,
+                warmUpMillis,
+                bornAtMillis,
+                orderSequence,
+                reclaimable,
+                leavesInMillis);
+    }
+
     /** Returns whether {@code later} describes a new start of this endpoint. */
     public boolean isRestartedAs(EndpointEntry later) {
         return bornAtMillis != later.bornAtMillis || later.orderSequence < orderSequence;
--- a/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
@@ -77,6 +77,20 @@
         assertThat(directory.entries()).hasSize(1);
     }
 
+    @Test
+    void entryThatStaysMissingGetsNoRequestsTwoSecondsAfterTheOutage() {
+        // Seen on sharkawy-bales trouble-2 --seed 558520500439: a request was sent 2,047 ms after
+        // the store had returned without the entry.
+        directory.put(entry("i-1", true, 1), 5);
+        directory.storeLost(0);
+        directory.storeAnswered(4 * SECOND);
+        directory.remove(new EndpointId("i-1"), 6, 4 * SECOND);
+        directory.expire(4 * SECOND + 1_700_000_000L);
+        assertThat(directory.find(new EndpointId("i-1")).orElseThrow().accepting()).isFalse();
+        directory.put(entry("i-1", true, 1), 7);
+        assertThat(directory.find(new EndpointId("i-1")).orElseThrow().accepting()).isTrue();
+    }
+
     @Test
     void entryThatStaysMissingAfterAnOutageIsDropped() {
         directory.put(entry("i-1", true, 1), 5);
