Tell a node that has started when the quotas were used

A node that had been killed came back at second 9.9 while the account had used its quota within the last four seconds. It adopted the sum from another node and took it for use spread over the whole window, so an eighth of it seemed to expire each second: it granted 827,000 tokens from second 10 to 15 while the other nodes granted 40,000.

Ruled out: late reports and the shares of nodes that are cut off; the other nodes stayed within what the window allowed.

Change: the statuses of the three seconds after a node has been listed carry the use by eighths of the window, and the new node adopts it with its age.

--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -1,6 +1,7 @@
 package org.carobdoor.internal.quota;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.locks.ReentrantLock;
 import org.carobdoor.internal.deployment.QuotaLimit;
@@ -30,6 +31,12 @@
      */
     private static final double USED_AT_START = 0.9;
 
+    /**
+     * Parts of the window in which use is told to a node that has started. Without them it would
+     * take a burst of the last second for use of the whole window, and grant again what expires.
+     */
+    private static final int REPORTED_PARTS = 8;
+
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -128,6 +135,17 @@
         }
     }
 
+    /** Returns the use of the window by equal parts, newest first, for a node that has started. */
+    public List<Double> recent(long nowNanos) {
+        lock.lock();
+        try {
+            update(nowNanos);
+            return window.parts(REPORTED_PARTS);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Changes the limit; it holds from now on for the whole window that ends now. */
     public void setLimit(QuotaLimit newLimit, long nowNanos) {
         lock.lock();
@@ -155,11 +173,11 @@
      *
      * @param peer identifies one run of the other node
      * @param granted what it has granted since its start
-     * @param peerAvailable what is left of the quota as it sees it
+     * @param recent the use of the window as it sees it, see {@link #recent}; empty if not sent
      * @param peerKnows whether it has run for at least a window, so that it knows all use
      */
     public void report(
-            String peer, double granted, double peerAvailable, boolean peerKnows, long nowNanos) {
+            String peer, double granted, List<Double> recent, boolean peerKnows, long nowNanos) {
         lock.lock();
         try {
             update(nowNanos);
@@ -172,11 +190,10 @@
                 known.assumed = 0;
                 known.heardAtNanos = nowNanos;
             }
-            if (peerKnows && !adopted) {
+            if (peerKnows && !adopted && !recent.isEmpty()) {
                 // This node knows nothing of the use before its start; the other one does.
                 adopted = true;
-                window.clear();
-                window.spread(allowed() - peerAvailable);
+                window.setParts(recent);
             }
         } finally {
             lock.unlock();
--- a/core/src/main/java/org/carobdoor/internal/quota/UseWindow.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/UseWindow.java
@@ -1,6 +1,8 @@
 package org.carobdoor.internal.quota;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 
 /** The units used in a window of time that ends now, kept in slices that expire one by one. */
 final class UseWindow {
@@ -62,6 +64,30 @@
         total += units;
     }
 
+    /** Returns the use by {@code count} equal parts of the window, newest first. */
+    List<Double> parts(int count) {
+        List<Double> parts = new ArrayList<>();
+        int perPart = SLICES / count;
+        for (int p = 0; p < count; p++) {
+            double sum = 0;
+            for (int i = 0; i < perPart; i++) {
+                sum += used[index(slice - (long) p * perPart - i)];
+            }
+            parts.add(sum);
+        }
+        return parts;
+    }
+
+    /** Replaces the use by that of {@link #parts}; each part counts as used at its end. */
+    void setParts(List<Double> parts) {
+        clear();
+        int perPart = SLICES / Math.max(1, parts.size());
+        for (int p = 0; p < parts.size(); p++) {
+            used[index(slice - (long) p * perPart)] += parts.get(p);
+            total += parts.get(p);
+        }
+    }
+
     void clear() {
         Arrays.fill(used, 0);
         total = 0;
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -203,7 +203,7 @@
                 mirror.configurationRevision(),
                 mirror.directoryRevision(),
                 !stopping && mirror.isReady(),
-                state.accounts().ownUse(now),
+                state.accounts().ownUse(peers.hasNewPeer(), now),
                 state.endpoints().ownUse(),
                 ownWindows(),
                 state.workMillis());
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
@@ -50,6 +50,9 @@
     /** How long this node must be behind another one before it asks, so that the store is first. */
     private static final long BEHIND_NANOS = 150_000_000L;
 
+    /** How long after its listing a node is sent what it missed: several statuses. */
+    private static final long NEW_PEER_NANOS = 3_000_000_000L;
+
     private final EventLoop loop;
     private final Store store;
     private final TcpPeerNetwork network;
@@ -67,6 +70,7 @@
     private long lease;
     private boolean entryMissing;
     private long behindSinceNanos;
+    private long newPeerAtNanos = System.nanoTime();
     private boolean stopped;
 
     Peers(
@@ -114,6 +118,11 @@
                 });
     }
 
+    /** Returns whether a node has been listed lately, which lacks what the others know. */
+    boolean hasNewPeer() {
+        return System.nanoTime() - newPeerAtNanos < NEW_PEER_NANOS;
+    }
+
     /** Lists this node in the store and starts to tell the others its status. */
     void start() {
         register();
@@ -137,6 +146,7 @@
         }
         addresses.put(new NodeId(peer.run()), peer.address());
         if (runs.listed(peer.run(), revision)) {
+            newPeerAtNanos = System.nanoTime();
             log.line("peer.listed").add("peer", peer.run()).write();
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Accounts.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Accounts.java
@@ -77,7 +77,7 @@
         for (AccountUse u : uses) {
             AccountQuota q = quotas.get(new ClientAccount(u.account()));
             if (q != null) {
-                q.report(run, u.granted(), u.available(), knows, nowNanos);
+                q.report(run, u.granted(), u.recent(), knows, nowNanos);
             }
         }
     }
@@ -87,14 +87,20 @@
         quotas.values().forEach(q -> q.forget(run));
     }
 
-    /** Returns what this node has granted. */
-    public List<AccountUse> ownUse(long nowNanos) {
+    /**
+     * Returns what this node has granted.
+     *
+     * @param withRecent whether a node has started, which needs the use before its start
+     */
+    public List<AccountUse> ownUse(boolean withRecent, long nowNanos) {
         List<AccountUse> uses = new ArrayList<>();
         quotas.forEach(
                 (id, q) ->
                         uses.add(
                                 new AccountUse(
-                                        id.value(), q.grantedHere(), q.available(nowNanos))));
+                                        id.value(),
+                                        q.grantedHere(),
+                                        withRecent ? q.recent(nowNanos) : List.of())));
         return uses;
     }
 }
--- a/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
@@ -24,10 +24,9 @@
                         .setServing(m.serving())
                         .putAllWorkMillis(m.workMillis());
         for (AccountUse a : m.accounts()) {
-            b.addAccountsBuilder()
-                    .setAccount(a.account())
-                    .setGranted(a.granted())
-                    .setAvailable(a.available());
+            MessagesProto.AccountUse.Builder account =
+                    b.addAccountsBuilder().setAccount(a.account()).setGranted(a.granted());
+            a.recent().forEach(units -> account.addRecent(units.floatValue()));
         }
         for (EndpointUse e : m.endpoints()) {
             b.addEndpointsBuilder()
@@ -50,9 +49,7 @@
                 p.getConfigurationRevision(),
                 p.getDirectoryRevision(),
                 p.getServing(),
-                p.getAccountsList().stream()
-                        .map(a -> new AccountUse(a.getAccount(), a.getGranted(), a.getAvailable()))
-                        .toList(),
+                p.getAccountsList().stream().map(StatusCodec::decode).toList(),
                 p.getEndpointsList().stream()
                         .map(
                                 e ->
@@ -67,6 +64,13 @@
                 p.getWorkMillisMap());
     }
 
+    private static AccountUse decode(MessagesProto.AccountUse p) {
+        return new AccountUse(
+                p.getAccount(),
+                p.getGranted(),
+                p.getRecentList().stream().map(Float::doubleValue).toList());
+    }
+
     static MessagesProto.StoreMirrorRequest encode(StoreMirrorRequest m) {
         return MessagesProto.StoreMirrorRequest.newBuilder()
                 .setConfigurationRevision(m.configurationRevision())
