Ask the store less often, above all in large fleets

Each of 62 nodes held three watches that were answered at least every 4 s, was woken for each of the others' entries at the start, and renewed a lease each 3 s.

Change: the watches of the configuration and of the nodes' keys may wait 8 s (a newer configuration is told by the other nodes' statuses), changes gather for 250 to 500 ms by the number of nodes, and a node's entry has a lease of 12 s renewed each 4.5 s. The watch of the endpoints stays at 4 s.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.duty.ClusterClock;
@@ -26,11 +27,22 @@
  * event loop.
  */
 public final class ControlLoop implements Peers.Listener, AutoCloseable {
-    /** A watch that is silent for longer is replaced; other nodes tell of changes meanwhile. */
-    private static final long WATCH_MILLIS = 4_000;
+    /**
+     * How long the store may keep a watch of the endpoints waiting. A watch that is silent for
+     * longer is replaced, so this bounds how long a node goes on with endpoints that have left.
+     */
+    private static final long ENDPOINT_WATCH_MILLIS = 4_000;
 
-    /** Changes of endpoints may gather this long: well within the time to stop using one. */
-    private static final long ENDPOINT_PAUSE_MILLIS = 250;
+    /** The same for other keys; the nodes tell each other of a newer configuration meanwhile. */
+    private static final long WATCH_MILLIS = 8_000;
+
+    /** Changes may gather this long: well within the two seconds to stop using an endpoint. */
+    private static final long MIN_PAUSE_MILLIS = 250;
+
+    /** Each node adds to the calls that the store gets for one change. */
+    private static final long PAUSE_MILLIS_PER_NODE = 4;
+
+    private static final long MAX_PAUSE_MILLIS = 500;
 
     private static final long TICK_MILLIS = 200;
 
@@ -126,9 +138,9 @@
 
     /** Starts to read the store and to talk to the other nodes. */
     public void start() {
-        watch(StoreKeys.CONFIGURATION, 0, new ConfigurationWatch());
-        watch(StoreKeys.ENDPOINTS, ENDPOINT_PAUSE_MILLIS, new EndpointWatch());
-        watch(OwnKeys.PREFIX, 0, new OwnWatch());
+        watch(StoreKeys.CONFIGURATION, WATCH_MILLIS, () -> 0, new ConfigurationWatch());
+        watch(StoreKeys.ENDPOINTS, ENDPOINT_WATCH_MILLIS, this::pauseMillis, new EndpointWatch());
+        watch(OwnKeys.PREFIX, WATCH_MILLIS, this::pauseMillis, new OwnWatch());
         peers.start();
         if (duties != null) {
             duties.start();
@@ -168,8 +180,14 @@
                 .append('\n');
     }
 
-    private void watch(String prefix, long pauseMillis, StoreWatch.Listener listener) {
-        new StoreWatch(loop, store, prefix, WATCH_MILLIS, pauseMillis, listener, log).start();
+    private void watch(
+            String prefix, long waitMillis, LongSupplier pause, StoreWatch.Listener listener) {
+        new StoreWatch(loop, store, prefix, waitMillis, pause, listener, log).start();
+    }
+
+    private long pauseMillis() {
+        return Math.min(
+                MAX_PAUSE_MILLIS, MIN_PAUSE_MILLIS + PAUSE_MILLIS_PER_NODE * peers.nodeCount());
     }
 
     private boolean isDirectoryStale() {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
@@ -34,8 +34,12 @@
         void gone(String run);
     }
 
-    private static final long LEASE_MILLIS = 9_000;
-    private static final long RENEW_MILLIS = 3_000;
+    /** A node that is gone stays listed this long; its silence tells the others before. */
+    private static final long LEASE_MILLIS = 12_000;
+
+    /** Calls of the store are priced; two renewals may fail within a lease. */
+    private static final long RENEW_MILLIS = 4_500;
+
     private static final long RETRY_MILLIS = 500;
 
     /** Three statuses of each node of a zone are missing: the zone is cut off, or all are gone. */
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
@@ -37,7 +38,7 @@
     private final Store store;
     private final String prefix;
     private final long waitMillis;
-    private final long pauseMillis;
+    private final LongSupplier pauseMillis;
     private final Listener listener;
     private final DecisionLog log;
     private long retryMillis = FIRST_RETRY_MILLIS;
@@ -55,7 +56,7 @@
             Store store,
             String prefix,
             long waitMillis,
-            long pauseMillis,
+            LongSupplier pauseMillis,
             Listener listener,
             DecisionLog log) {
         this.loop = loop;
@@ -114,7 +115,10 @@
                             if (changes.isEmpty()) {
                                 watch();
                             } else {
-                                loop.schedule(this::watch, pauseMillis, TimeUnit.MILLISECONDS);
+                                loop.schedule(
+                                        this::watch,
+                                        pauseMillis.getAsLong(),
+                                        TimeUnit.MILLISECONDS);
                             }
                         }
                         case StoreAnswer.HistoryGone() -> {
