Let leases of the store's stand-in run for the time asked for

Cause: the stand-in extended each lease by three seconds, whatever was asked for, and told so in its reply.

Change: a renewal extends a lease by its own time.

Test: with this stand-in nodeWhoseEntryIsLostListsItselfAgain fails on (no entry within 10 s) and passes now; GatewayTest passes whole.

--- a/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
@@ -29,13 +29,19 @@
 
     private record Item(String value, long revision, long lease) {}
 
+    private record Lease(long ttlMillis, Instant until) {
+        static Lease ofMillis(long ttlMillis) {
+            return new Lease(ttlMillis, Instant.now().plusMillis(ttlMillis));
+        }
+    }
+
     private record Change(String key, @Nullable Item item, long revision) {}
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition changed = lock.newCondition();
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Change> history = new ArrayList<>();
-    private final Map<Long, Instant> leases = new HashMap<>();
+    private final Map<Long, Lease> leases = new HashMap<>();
     private final LocalHttp http;
     private long revision = 1;
     private long historyFrom;
@@ -156,16 +162,16 @@
             return transaction(JSON.readTree(body));
         } else if (path.equals("/kv-lease")) {
             long ttl = JSON.readTree(body).get("ttlMs").longValue();
-            leases.put(++nextLease, Instant.now().plusMillis(ttl));
+            leases.put(++nextLease, Lease.ofMillis(ttl));
             return "200 {\"lease\":" + nextLease + ",\"ttlMs\":" + ttl + "}";
         } else if (path.startsWith("/kv-keep/")) {
             long lease = Long.parseLong(path.substring("/kv-keep/".length()));
-            boolean runs = leases.containsKey(lease);
-            leases.computeIfPresent(lease, (l, until) -> Instant.now().plusMillis(3_000));
-            return runs ? "200 {\"ttlMs\":3000}" : "404 {}";
+            Lease renewed =
+                    leases.computeIfPresent(lease, (l, kept) -> Lease.ofMillis(kept.ttlMillis()));
+            return renewed == null ? "404 {}" : "200 {\"ttlMs\":" + renewed.ttlMillis() + "}";
         } else if (path.startsWith("/kv-lease-end/")) {
             long lease = Long.parseLong(path.substring("/kv-lease-end/".length()));
-            leases.put(lease, Instant.EPOCH);
+            leases.computeIfPresent(lease, (l, kept) -> new Lease(0, Instant.EPOCH));
             expireLeases();
             return "200 {}";
         }
@@ -242,7 +248,7 @@
         Instant now = Instant.now();
         List<Long> ended =
                 leases.entrySet().stream()
-                        .filter(e -> e.getValue().isBefore(now))
+                        .filter(e -> e.getValue().until().isBefore(now))
                         .map(Map.Entry::getKey)
                         .toList();
         for (long lease : ended) {
