--- a/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
@@ -112,7 +112,7 @@
     }
 
     private void endLease(long lease) {
-        // The next holder can take over as soon as the store is back; leases are extended then.
+        // Repeated while the store is away: the next holder would wait for the end of the lease.
         store.endLease(
                 lease,
                 () -> loop.schedule(() -> endLease(lease), TICK_MILLIS, TimeUnit.MILLISECONDS));
