Count a share of the rest of a quota as used by a silent node

When a zone is cut off while much of a quota is left, both sides see the same rest and each granted all of it: 0.95 and 1.10 million in the three seconds after the cut. A silent node counted only as using its share of what comes free.

Ruled out: the 0.6 s until the silence is noticed (the grants go on for three seconds), and the lowered limit (it binds later).

Change: a node that falls silent also counts as having used its share of the rest; its next report replaces the assumption.

--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -12,8 +12,9 @@
  *
  * <p>Each node takes its own grants at once and the other nodes' grants as they report them. A
  * report is late by its interval, so during that time an account can use as much beyond its quota
- * as it asks for. A node of which three reports are missing counts as using an equal share. A node
- * that is cut off from all others therefore grants only its own share, and so does the other side.
+ * as it asks for. A node of which three reports are missing counts as using an equal share of what
+ * is left and of what comes free. A node that is cut off from all others therefore grants only its
+ * own share, and so does the other side.
  *
  * <p>Load answered: one account sends several times its quota through all nodes at once, or through
  * nodes that cannot reach each other. Safe for use by several threads.
@@ -43,6 +44,7 @@
     private static final class Peer {
         double reported;
         double assumed;
+        boolean silent;
         long heardAtNanos;
 
         Peer(double reported, long heardAtNanos) {
@@ -188,6 +190,7 @@
                 window.add(granted - known.reported - known.assumed);
                 known.reported = granted;
                 known.assumed = 0;
+                known.silent = false;
                 known.heardAtNanos = nowNanos;
             }
             if (peerKnows && !adopted && !recent.isEmpty()) {
@@ -220,12 +223,19 @@
         adopted |= window.advance(nowNanos);
         double share = allowed() / windowSeconds * seconds / nodes;
         long silence = Math.max(SILENT_NANOS, SILENT_NANOS_PER_NODE * nodes);
+        double shareOfRest = Math.max(0, allowed() - window.total()) / nodes;
         int heard = 0;
         for (Peer p : peers.values()) {
             if (nowNanos - p.heardAtNanos < silence) {
                 heard++;
-            } else {
-                p.assumed += share;
+                continue;
+            }
+            p.assumed += share;
+            if (!p.silent) {
+                // It sees the same rest of the quota, and may grant its share of it at once.
+                p.silent = true;
+                p.assumed += shareOfRest;
+                window.add(shareOfRest);
             }
         }
         window.addSpread(share * Math.max(0, nodes - 1 - heard), seconds * NANOS_PER_SECOND);
--- a/core/src/test/java/org/carobdoor/internal/quota/AccountQuotaTest.java
+++ b/core/src/test/java/org/carobdoor/internal/quota/AccountQuotaTest.java
@@ -72,6 +72,50 @@
         assertThat(fresh.tryTake(100, now + 9 * SECOND)).isInstanceOf(QuotaDecision.Granted.class);
     }
 
+    @Test
+    void bothSidesOfACutTogetherSpendWhatWasLeftOnce() {
+        // Seen on sharkawy-bales with deploy/days/lower-quota-in-a-cut-zone.toml: three of six
+        // nodes were cut off while much of the quota was left, and each side spent all of it.
+        int nodes = 6;
+        List<AccountQuota> quotas = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            quotas.add(AccountQuota.create(LIMIT, 0, WINDOW, 0));
+            quotas.get(i).setNodes(nodes, 0);
+        }
+        long cut = 20 * SECOND;
+        for (long t = 0; t <= cut; t += SECOND / 5) {
+            exchange(quotas, 1, t);
+        }
+        double granted = 0;
+        for (long t = cut; t < cut + 6 * SECOND; t += SECOND / 5) {
+            exchange(quotas, 2, t);
+            for (AccountQuota q : quotas) {
+                boolean silenceKnown = t > cut + SECOND;
+                if (silenceKnown && q.tryTake(50, t) instanceof QuotaDecision.Granted) {
+                    granted += 50;
+                }
+            }
+        }
+        for (int i = 0; i < 400; i++) {
+            AccountQuota q = quotas.get(i % nodes);
+            granted += q.tryTake(50, cut + 6 * SECOND) instanceof QuotaDecision.Granted ? 50 : 0;
+            exchange(quotas, 2, cut + 6 * SECOND);
+        }
+        assertThat(granted).isAtMost(ALLOWED + nodes * 50);
+    }
+
+    /** Lets each node report to those with the same remainder when divided by {@code sides}. */
+    private static void exchange(List<AccountQuota> quotas, int sides, long now) {
+        for (int from = 0; from < quotas.size(); from++) {
+            for (int to = 0; to < quotas.size(); to++) {
+                if (from != to && from % sides == to % sides) {
+                    AccountQuota q = quotas.get(from);
+                    quotas.get(to).report("n" + from, q.grantedHere(), List.of(), true, now);
+                }
+            }
+        }
+    }
+
     @Test
     void nodeThatIsCutOffGrantsItsShareOnly() {
         AccountQuota quota = AccountQuota.create(LIMIT, 0, WINDOW, 0);
