Update the sums of other nodes' work by the difference of a report

Cause: each status of a node made EndpointTable sum up the work of all nodes at all endpoints again.

Change: a report takes the earlier one of its run away and adds itself, so the work follows the length of the report. An endpoint that starts adds up what was reported of it; before, that counted from the next status on.

Test: EndpointTableTest, new. No processor time was measured.

--- a/core/src/main/java/org/carobdoor/internal/placement/EndpointLoad.java
+++ b/core/src/main/java/org/carobdoor/internal/placement/EndpointLoad.java
@@ -115,10 +115,10 @@
         heardAtNanos = nowNanos;
     }
 
-    /** Replaces the work that the other nodes have at the endpoint. */
-    public void setOthers(int runningElsewhere, long unreadElsewhere) {
-        othersRunning = runningElsewhere;
-        othersUnreadTokens = unreadElsewhere;
+    /** Adds to the work that the other nodes have at the endpoint; negative numbers take away. */
+    public void addOthers(int runningElsewhere, long unreadElsewhere) {
+        othersRunning += runningElsewhere;
+        othersUnreadTokens += unreadElsewhere;
     }
 
     /** Learns the pace of an engine from the time that a prompt took. */
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -37,7 +37,7 @@
 
     private final Map<EndpointId, Endpoint> byId = new HashMap<>();
     private final Map<String, List<EndpointLoad>> byService = new HashMap<>();
-    private final Map<String, Map<String, EndpointUse>> othersUse = new HashMap<>();
+    private final Map<String, Map<EndpointId, EndpointUse>> othersUse = new HashMap<>();
     private final EventLoop loop;
     private final DecisionLog log;
     private Optional<Configuration> configuration = Optional.empty();
@@ -118,19 +118,25 @@
 
     /** Replaces the work that a run of another node has at the endpoints. */
     public void setOthersUse(String run, List<EndpointUse> uses) {
-        Map<String, EndpointUse> byEndpoint = new HashMap<>();
-        uses.forEach(u -> byEndpoint.put(u.endpoint(), u));
+        forgetOther(run);
+        Map<EndpointId, EndpointUse> byEndpoint = new HashMap<>();
+        uses.forEach(u -> byEndpoint.put(new EndpointId(u.endpoint()), u));
         othersUse.put(run, byEndpoint);
-        refreshOthers();
+        byEndpoint.forEach((id, u) -> addOthers(id, u.running(), u.unreadTokens()));
     }
 
     /** Forgets the work of a node that is gone. */
     public void forgetOther(String run) {
-        if (othersUse.remove(run) != null) {
-            refreshOthers();
+        Map<EndpointId, EndpointUse> before = othersUse.remove(run);
+        if (before != null) {
+            before.forEach((id, u) -> addOthers(id, -u.running(), -u.unreadTokens()));
         }
     }
 
+    private void addOthers(EndpointId id, int running, long unread) {
+        find(id).ifPresent(e -> e.load().addOthers(running, unread));
+    }
+
     /** Returns the work that this node has at the endpoints. */
     public List<EndpointUse> ownUse() {
         List<EndpointUse> uses = new ArrayList<>();
@@ -158,6 +164,13 @@
                         maxConnections(entry.service()),
                         () -> connectionsOpened++);
         byId.put(entry.id(), e);
+        // Other nodes may have been told of the endpoint first.
+        for (Map<EndpointId, EndpointUse> uses : othersUse.values()) {
+            EndpointUse u = uses.get(entry.id());
+            if (u != null) {
+                e.load().addOthers(u.running(), u.unreadTokens());
+            }
+        }
         byService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(e.load());
         log.line("endpoint.listed")
                 .add("endpoint", entry.id())
@@ -199,21 +212,6 @@
         }
     }
 
-    private void refreshOthers() {
-        for (Endpoint e : byId.values()) {
-            int running = 0;
-            long unread = 0;
-            for (Map<String, EndpointUse> uses : othersUse.values()) {
-                EndpointUse u = uses.get(e.load().entry().id().value());
-                if (u != null) {
-                    running += u.running();
-                    unread += u.unreadTokens();
-                }
-            }
-            e.load().setOthers(running, unread);
-        }
-    }
-
     private long memoryTokens(String service) {
         return service(service).flatMap(Service::engine).map(EngineTraits::memoryTokens).orElse(0L);
     }
--- /dev/null
+++ b/node/src/test/java/org/carobdoor/node/gateway/endpoint/EndpointTableTest.java
@@ -0,0 +1,86 @@
+package org.carobdoor.node.gateway.endpoint;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.OptionalLong;
+import org.carobdoor.AvailabilityZone;
+import org.carobdoor.EndpointId;
+import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.placement.EndpointLoad;
+import org.carobdoor.message.EndpointUse;
+import org.carobdoor.node.gateway.log.DecisionLog;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against sums of the other nodes' work that drift from what the nodes last reported. */
+final class EndpointTableTest {
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final EndpointTable table = EndpointTable.create(loop, DecisionLog.create());
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully();
+    }
+
+    private EndpointLoad start(String id) {
+        table.started(
+                new EndpointEntry(
+                        new EndpointId(id),
+                        "llm",
+                        new InetSocketAddress("127.0.0.1", 9),
+                        new AvailabilityZone("a"),
+                        true,
+                        4,
+                        0,
+                        1,
+                        0,
+                        false,
+                        OptionalLong.empty()));
+        return table.find(new EndpointId(id)).orElseThrow().load();
+    }
+
+    @Test
+    void reportReplacesTheEarlierOneOfTheSameRun() {
+        EndpointLoad load = start("i-1");
+        table.setOthersUse("b@1", List.of(new EndpointUse("i-1", 3, 700)));
+        table.setOthersUse("c@1", List.of(new EndpointUse("i-1", 2, 50)));
+        table.setOthersUse("b@1", List.of(new EndpointUse("i-1", 1, 0)));
+        assertThat(load.runningEverywhere()).isEqualTo(3);
+        assertThat(load.unreadEverywhere()).isEqualTo(50);
+
+        table.setOthersUse("c@1", List.of());
+        assertThat(load.runningEverywhere()).isEqualTo(1);
+        assertThat(load.unreadEverywhere()).isEqualTo(0);
+    }
+
+    @Test
+    void workOfANodeThatIsGoneDoesNotCount() {
+        EndpointLoad load = start("i-1");
+        table.setOthersUse("b@1", List.of(new EndpointUse("i-1", 3, 700)));
+        table.forgetOther("b@1");
+        table.forgetOther("b@1");
+        assertThat(load.runningEverywhere()).isEqualTo(0);
+        assertThat(load.unreadEverywhere()).isEqualTo(0);
+    }
+
+    @Test
+    void workThatIsReportedBeforeItsEndpointStartsCounts() {
+        table.setOthersUse("b@1", List.of(new EndpointUse("i-1", 3, 700)));
+        EndpointLoad load = start("i-1");
+        assertThat(load.runningEverywhere()).isEqualTo(3);
+
+        table.setOthersUse("b@1", List.of(new EndpointUse("i-1", 1, 200)));
+        assertThat(load.unreadEverywhere()).isEqualTo(200);
+    }
+
+    @Test
+    void restartedEndpointKeepsWhatIsReportedOfIt() {
+        EndpointLoad before = start("i-1");
+        table.setOthersUse("b@1", List.of(new EndpointUse("i-1", 3, 700)));
+        table.removed(before.entry());
+        assertThat(start("i-1").runningEverywhere()).isEqualTo(3);
+    }
+}
