Join what the daemon's two modes had twice, and drop what nothing reads

- Connector opens the TCP connections of PlatformClient and EndpointConnections, which had the same bootstrap each.
- SettingsFile holds what both settings loaders had: reading the file, the report of all problems, keys, zone and log level.
A short cluster key is now reported like a short key of an account.
- UsageCounts.add, ControlLoop.create and EndpointAttempt.endpointId had no caller of their own.

--- a/core/src/main/java/org/carobdoor/internal/duty/UsageCounts.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/UsageCounts.java
@@ -37,12 +37,8 @@
 
     /** Counts a request of {@code account} that began to run at {@code millis}. */
     public void began(String account, long millis) {
-        add(windowAt(millis), account, 1);
-    }
-
-    /** Adds counts of another source. */
-    public void add(long window, String account, long count) {
-        windows.computeIfAbsent(window, w -> new TreeMap<>()).merge(account, count, Long::sum);
+        windows.computeIfAbsent(windowAt(millis), w -> new TreeMap<>())
+                .merge(account, 1L, Long::sum);
         while (windows.size() > KEPT_WINDOWS) {
             windows.pollFirstEntry();
         }
--- a/core/src/main/java/org/carobdoor/message/NodeStatus.java
+++ b/core/src/main/java/org/carobdoor/message/NodeStatus.java
@@ -13,7 +13,6 @@
  * @param timeMillis its clock, in milliseconds since the epoch
  * @param configurationRevision the store's revision of the configuration in force
  * @param directoryRevision the store's revision up to which it knows the endpoints
- * @param serving whether it takes new requests
  * @param accounts its use of quotas
  * @param endpoints the endpoints at which it has work
  * @param windows its usage counts of the last windows
@@ -26,7 +25,6 @@
         long timeMillis,
         long configurationRevision,
         long directoryRevision,
-        boolean serving,
         List<AccountUse> accounts,
         List<EndpointUse> endpoints,
         List<UsageWindow> windows,
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -104,7 +104,7 @@
                         TransportSettings.defaults(),
                         InstantSource.system());
         control =
-                ControlLoop.create(
+                new ControlLoop(
                         loop,
                         settings,
                         state,
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -64,11 +64,11 @@
     private final DecisionLog log;
     private final String run;
     private final long startedAtMillis;
-    private boolean stopping;
     private boolean directoryAway;
     private long directoryAnsweredNanos = System.nanoTime();
 
-    private ControlLoop(
+    /** Creates the control of a node; {@link #start} begins its work. */
+    public ControlLoop(
             EventLoop loop,
             GatewaySettings settings,
             ForwardingState state,
@@ -109,7 +109,6 @@
                                                 store,
                                                 address,
                                                 DutyTenure.create(run, random),
-                                                state.usage(),
                                                 usage,
                                                 state,
                                                 settings.bounds(),
@@ -121,21 +120,6 @@
                         .orElse(null);
     }
 
-    /** Returns the control of a node; {@link #start} begins its work. */
-    public static ControlLoop create(
-            EventLoop loop,
-            GatewaySettings settings,
-            ForwardingState state,
-            EndpointDirectory directory,
-            TcpPeerNetwork network,
-            String run,
-            long startedAtMillis,
-            RandomGenerator random,
-            DecisionLog log) {
-        return new ControlLoop(
-                loop, settings, state, directory, network, run, startedAtMillis, random, log);
-    }
-
     /** Starts to read the store and to talk to the other nodes. */
     public void start() {
         watch(StoreKeys.CONFIGURATION, WATCH_MILLIS, () -> 0, new ConfigurationWatch());
@@ -155,7 +139,6 @@
 
     /** Gives up the duties and leaves the list of nodes. */
     public void startStopping() {
-        stopping = true;
         if (duties != null) {
             duties.stop();
         }
@@ -220,7 +203,6 @@
                 clock.millis(now),
                 mirror.configurationRevision(),
                 mirror.directoryRevision(),
-                !stopping && mirror.isReady(),
                 state.accounts().ownUse(peers.hasNewPeer(), now),
                 state.endpoints().ownUse(),
                 ownWindows(),
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Duties.java
@@ -66,7 +66,6 @@
             Store store,
             InetSocketAddress cloudAddress,
             DutyTenure tenure,
-            UsageCounts windows,
             ClusterUsage usage,
             ForwardingState state,
             GatewayBounds bounds,
@@ -79,7 +78,7 @@
         this.store = store;
         this.cloud = new PlatformClient(loop, cloudAddress, log);
         this.tenure = tenure;
-        this.windows = windows;
+        this.windows = state.usage();
         this.reports = UsageReports.create(windows);
         this.usage = usage;
         this.fleet = new FleetDriver(state, this, node, log);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
@@ -1,16 +1,12 @@
 package org.carobdoor.node.gateway.control;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -26,6 +22,7 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.node.gateway.log.DecisionLog;
+import org.carobdoor.node.gateway.net.Connector;
 import org.carobdoor.platform.HttpCall;
 import org.carobdoor.platform.HttpReply;
 import org.jspecify.annotations.Nullable;
@@ -89,13 +86,13 @@
             return;
         }
         Connection fresh = new Connection();
-        new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new Initializer(fresh))
-                .connect(address)
+        Connector.connect(
+                        loop,
+                        address,
+                        CONNECT_TIMEOUT_MILLIS,
+                        new HttpClientCodec(),
+                        new HttpObjectAggregator(MAX_REPLY_BYTES),
+                        fresh)
                 .addListener(
                         (ChannelFutureListener)
                                 f -> {
@@ -124,22 +121,6 @@
         idle.clear();
     }
 
-    private static final class Initializer extends ChannelInitializer<Channel> {
-        private final Connection connection;
-
-        Initializer(Connection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        protected void initChannel(Channel ch) {
-            ch.pipeline()
-                    .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(MAX_REPLY_BYTES))
-                    .addLast(connection);
-        }
-    }
-
     /** A connection that carries one call at a time. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private @Nullable Channel channel;
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnections.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnections.java
@@ -1,19 +1,15 @@
 package org.carobdoor.node.gateway.endpoint;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.function.LongConsumer;
+import org.carobdoor.node.gateway.net.Connector;
 
 /** The connections of this node to one endpoint. Belongs to the event loop. */
 final class EndpointConnections implements AutoCloseable {
@@ -95,13 +91,12 @@
         opened.run();
         EndpointConnection c = new EndpointConnection(this, usableIdleNanos(DEFAULT_IDLE_MILLIS));
         ChannelFuture future =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                        .handler(new Initializer(c))
-                        .connect(address);
+                Connector.connect(
+                        loop,
+                        address,
+                        CONNECT_TIMEOUT_MILLIS,
+                        new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
+                        c);
         future.addListener(
                 (ChannelFutureListener)
                         f -> {
@@ -147,19 +142,4 @@
         }
         idle.clear();
     }
-
-    private static final class Initializer extends ChannelInitializer<Channel> {
-        private final EndpointConnection connection;
-
-        Initializer(EndpointConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        protected void initChannel(Channel ch) {
-            ch.pipeline()
-                    .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
-                    .addLast(connection);
-        }
-    }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
-import org.carobdoor.EndpointId;
 import org.carobdoor.internal.deployment.Account;
 import org.carobdoor.internal.deployment.RouteKind;
 import org.carobdoor.internal.health.SendOutcome;
@@ -83,10 +82,6 @@
         this.send = endpoint.openSend(repeatable ? Long.MAX_VALUE : UNREPEATABLE_IDLE_NANOS);
     }
 
-    EndpointId endpointId() {
-        return load.entry().id();
-    }
-
     /** Returns whether a byte of the request may have left. */
     boolean isWritten() {
         return written;
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -1,17 +1,13 @@
 package org.carobdoor.node.gateway.settings;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.carobdoor.AvailabilityZone;
-import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.clients.toml.TomlProblems;
 import org.carobdoor.clients.toml.TomlTable;
+import org.carobdoor.node.settings.SettingsFile;
 
 /**
  * Reads and checks a settings file of the daemon on the users' platform; all problems are reported
@@ -22,33 +18,21 @@
  * }</pre>
  */
 public final class GatewaySettingsLoader {
-    private static final String HELP = "see docs/TROUBLESHOOTING.md#settings";
-    private static final int MIN_KEY_LENGTH = 16;
     private static final double MAX_RETRIES = 1e6;
 
     private GatewaySettingsLoader() {}
 
     /** Reads the settings at {@code file}. */
     public static Result<GatewaySettings> load(Path file) {
-        try {
-            return parse(file.toString(), Files.readString(file));
-        } catch (IOException e) {
-            return Result.err(
-                    FailureKind.REJECTED,
-                    "settings.read",
-                    "local",
-                    file + ": cannot be read: " + e + "\n" + HELP);
-        }
+        return SettingsFile.load(file, GatewaySettingsLoader::parse);
     }
 
     /** Reads the settings in {@code text}, which came from {@code file}. */
     public static Result<GatewaySettings> parse(String file, String text) {
-        TomlProblems problems = new TomlProblems(file, text);
-        TomlTable root = TomlTable.parse(text, problems);
-        // Without a readable text every key would be reported as missing.
-        if (!problems.isEmpty()) {
-            return rejected(problems);
-        }
+        return SettingsFile.parse(file, text, GatewaySettingsLoader::read);
+    }
+
+    private static GatewaySettings read(TomlTable root) {
         TomlTable node = root.table("node");
         TomlTable listen = root.table("listen");
         TomlTable platform = root.table("platform");
@@ -56,38 +40,20 @@
         if (!name.matches("[A-Za-z0-9][A-Za-z0-9_.-]{0,62}")) {
             node.problem("name", "must be 1 to 63 letters, digits, \".\", \"_\" or \"-\"");
         }
-        String zone = node.string("availability_zone");
         InetSocketAddress cloud = platform.address("cloud");
         List<String> duties = platform.strings("duties");
-        GatewaySettings settings =
-                new GatewaySettings(
-                        name,
-                        new AvailabilityZone(zone.isBlank() ? "missing" : zone),
-                        listen.address("callers"),
-                        listen.address("readiness"),
-                        listen.address("peer"),
-                        listen.address("metrics"),
-                        platform.address("store"),
-                        duties.isEmpty() ? Optional.empty() : Optional.of(cloud),
-                        keys(root.table("peers")),
-                        bounds(root.table("bounds"), duties),
-                        root.table("log")
-                                .oneOf("level", "info", List.of("error", "warn", "info", "debug")));
-        root.checkNoUnknownKeys();
-        return problems.isEmpty() ? Result.ok(settings) : rejected(problems);
-    }
-
-    private static Result<GatewaySettings> rejected(TomlProblems problems) {
-        return Result.err(FailureKind.REJECTED, "settings.check", "local", problems + "\n" + HELP);
-    }
-
-    private static List<String> keys(TomlTable peers) {
-        List<String> keys = peers.strings("cluster_keys");
-        if (keys.isEmpty() || keys.stream().anyMatch(k -> k.length() < MIN_KEY_LENGTH)) {
-            peers.problem(
-                    "cluster_keys", "must hold keys of at least " + MIN_KEY_LENGTH + " characters");
-        }
-        return keys;
+        return new GatewaySettings(
+                name,
+                SettingsFile.zone(node),
+                listen.address("callers"),
+                listen.address("readiness"),
+                listen.address("peer"),
+                listen.address("metrics"),
+                platform.address("store"),
+                duties.isEmpty() ? Optional.empty() : Optional.of(cloud),
+                SettingsFile.keys(root.table("peers"), "cluster_keys"),
+                bounds(root.table("bounds"), duties),
+                SettingsFile.logLevel(root.table("log")));
     }
 
     private static GatewayBounds bounds(TomlTable t, List<String> duties) {
--- a/node/src/main/java/org/carobdoor/node/settings/SettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/settings/SettingsLoader.java
@@ -1,20 +1,15 @@
 package org.carobdoor.node.settings;
 
-import java.io.IOException;
 import java.net.URI;
 import java.net.URISyntaxException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.carobdoor.AvailabilityZone;
 import org.carobdoor.ClientAccount;
-import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
-import org.carobdoor.clients.toml.TomlProblems;
 import org.carobdoor.clients.toml.TomlTable;
 
 /**
@@ -29,8 +24,6 @@
  * }</pre>
  */
 public final class SettingsLoader {
-    private static final String HELP = "see docs/TROUBLESHOOTING.md#settings";
-    private static final int MIN_KEY_LENGTH = 16;
     private static final int KIB = 1 << 10;
     private static final int MIB = 1 << 20;
 
@@ -38,25 +31,15 @@
 
     /** Reads the settings at {@code file}. */
     public static Result<NodeSettings> load(Path file) {
-        try {
-            return parse(file.toString(), Files.readString(file));
-        } catch (IOException e) {
-            return Result.err(
-                    FailureKind.REJECTED,
-                    "settings.read",
-                    "local",
-                    file + ": cannot be read: " + e + "\n" + HELP);
-        }
+        return SettingsFile.load(file, SettingsLoader::parse);
     }
 
     /** Reads the settings in {@code text}, which came from {@code file}. */
     public static Result<NodeSettings> parse(String file, String text) {
-        TomlProblems problems = new TomlProblems(file, text);
-        TomlTable root = TomlTable.parse(text, problems);
-        // Without a readable text every key would be reported as missing.
-        if (!problems.isEmpty()) {
-            return rejected(problems);
-        }
+        return SettingsFile.parse(file, text, SettingsLoader::read);
+    }
+
+    private static NodeSettings read(TomlTable root) {
         TomlTable node = root.table("node");
         TomlTable listen = root.table("listen");
         TomlTable peers = root.table("peers");
@@ -64,27 +47,19 @@
         if (!name.matches("[A-Za-z0-9][A-Za-z0-9_]{0,31}")) {
             node.problem("name", "must be 1 to 32 letters, digits or underscores");
         }
-        String zone = node.string("availability_zone");
-        NodeSettings settings =
-                new NodeSettings(
-                        name,
-                        node.string("vm_id", ""),
-                        new AvailabilityZone(zone.isBlank() ? "missing" : zone),
-                        listen.address("http"),
-                        listen.address("peer"),
-                        platformUrl(root.table("platform")),
-                        peers.addresses("seeds"),
-                        keys(peers, "cluster_keys"),
-                        keys(root.table("operators"), "keys"),
-                        accounts(root),
-                        requests(root.table("requests")),
-                        log(root.table("log")));
-        root.checkNoUnknownKeys();
-        return problems.isEmpty() ? Result.ok(settings) : rejected(problems);
-    }
-
-    private static Result<NodeSettings> rejected(TomlProblems problems) {
-        return Result.err(FailureKind.REJECTED, "settings.check", "local", problems + "\n" + HELP);
+        return new NodeSettings(
+                name,
+                node.string("vm_id", ""),
+                SettingsFile.zone(node),
+                listen.address("http"),
+                listen.address("peer"),
+                platformUrl(root.table("platform")),
+                peers.addresses("seeds"),
+                SettingsFile.keys(peers, "cluster_keys"),
+                SettingsFile.keys(root.table("operators"), "keys"),
+                accounts(root),
+                requests(root.table("requests")),
+                log(root.table("log")));
     }
 
     private static URI platformUrl(TomlTable t) {
@@ -102,23 +77,12 @@
         }
     }
 
-    private static List<String> keys(TomlTable t, String key) {
-        List<String> keys = t.strings(key);
-        if (keys.isEmpty()) {
-            t.problem(key, "is missing; at least one key is required");
-        }
-        if (keys.stream().anyMatch(k -> k.length() < MIN_KEY_LENGTH)) {
-            t.problem(key, "holds a key shorter than " + MIN_KEY_LENGTH + " characters");
-        }
-        return keys;
-    }
-
     private static List<AccountSettings> accounts(TomlTable root) {
         List<AccountSettings> accounts = new ArrayList<>();
         Set<String> seen = new HashSet<>();
         for (TomlTable t : root.tables("client_accounts")) {
             String name = t.string("name");
-            List<String> keys = keys(t, "keys");
+            List<String> keys = SettingsFile.keys(t, "keys");
             if (name.isBlank()) {
                 continue;
             }
@@ -154,7 +118,6 @@
 
     private static LogSettings log(TomlTable t) {
         String format = t.oneOf("format", "text", List.of("text", "json"));
-        String level = t.oneOf("level", "info", List.of("error", "warn", "info", "debug"));
-        return new LogSettings(format.equals("json"), level);
+        return new LogSettings(format.equals("json"), SettingsFile.logLevel(t));
     }
 }
--- a/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
@@ -21,6 +21,10 @@
 
 /** Guards the way of a request through a node, against stand-ins of the platform. */
 final class GatewayTest {
+    private static final String NEW_ROUTE =
+            ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":\"/new/\","
+                    + "\"kind\":\"safe\",\"service\":\"desk\",\"maxAttempts\":1}";
+
     private StoreStandIn store;
     private CloudStandIn cloud;
     private BackendStandIn first;
@@ -170,12 +174,7 @@
     void newConfigurationTakesEffectAndForeignEntriesHarmNothing() throws InterruptedException {
         store.put("servers/foreign", "not json");
         store.put("servers/odd", "{\"service\":7}");
-        store.put(
-                "op/config",
-                TestGateway.configuration(
-                        2,
-                        ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":\"/new/\","
-                                + "\"kind\":\"safe\",\"service\":\"desk\",\"maxAttempts\":1}"));
+        store.put("op/config", TestGateway.configuration(2, NEW_ROUTE));
         TestGateway.await(() -> node.get("/new/a").statusCode() == 200);
     }
 
@@ -216,12 +215,7 @@
         assertThat(node.get("/safe/a").statusCode()).isEqualTo(200);
         store.compact();
         store.setDown(false);
-        store.put(
-                "op/config",
-                TestGateway.configuration(
-                        3,
-                        ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":\"/new/\","
-                                + "\"kind\":\"safe\",\"service\":\"desk\",\"maxAttempts\":1}"));
+        store.put("op/config", TestGateway.configuration(3, NEW_ROUTE));
         TestGateway.await(() -> node.get("/new/a").statusCode() == 200);
     }
 
--- a/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
@@ -21,7 +21,6 @@
                         .setTime(m.timeMillis())
                         .setConfigurationRevision(m.configurationRevision())
                         .setDirectoryRevision(m.directoryRevision())
-                        .setServing(m.serving())
                         .putAllWorkMillis(m.workMillis());
         for (AccountUse a : m.accounts()) {
             MessagesProto.AccountUse.Builder account =
@@ -48,7 +47,6 @@
                 p.getTime(),
                 p.getConfigurationRevision(),
                 p.getDirectoryRevision(),
-                p.getServing(),
                 p.getAccountsList().stream().map(StatusCodec::decode).toList(),
                 p.getEndpointsList().stream()
                         .map(
--- a/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
+++ b/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
@@ -85,7 +85,6 @@
                                             6L,
                                             7L,
                                             8L,
-                                            true,
                                             List.of(new AccountUse("hay", 1.5, List.of(2.0, 0.5))),
                                             List.of(new EndpointUse("i-1", 2, 300L)),
                                             List.of(new UsageWindow(9L, Map.of("hay", 4L))),
