Log the number of nodes and count retries granted and denied

A request that was not sent again since the budget was used up looked like one whose attempts had ended, and the number of nodes by which a node divides the allowance was in no line.

Change, without a change of decisions: RetryBudgets takes over the budgets by service from ForwardingState and counts what was granted and denied; nodes.counted tells the number of nodes and the share at each change; request.ended tells why a request was not sent again; request.again names the service, and is written for server errors as well.

--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import org.carobdoor.Result;
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.duty.UsageCounts;
+import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.node.gateway.control.ControlLoop;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
@@ -89,8 +90,8 @@
                         UsageCounts.create(settings.bounds().usageWindow().toMillis()),
                         log,
                         random,
-                        settings.bounds().retryShare(),
-                        settings.bounds().retrySaved());
+                        RetryBudgets.create(
+                                settings.bounds().retryShare(), settings.bounds().retrySaved()));
         forwarder = Forwarder.create(state);
         state.onReady(forwarder::serveWaiting);
         long startedAt = System.currentTimeMillis();
@@ -188,6 +189,7 @@
     private StatusServer.Document metricsDocument() {
         StringBuilder text = new StringBuilder();
         state.counters().write(text);
+        RetryMetrics.write(state.retries(), text);
         control.write(text);
         text.append("# TYPE carobdoor_gateway_caller_connections gauge\n")
                 .append("carobdoor_gateway_caller_connections ")
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -21,6 +20,7 @@
 import org.carobdoor.internal.placement.PlainPlacement;
 import org.carobdoor.internal.request.EndpointAnswer;
 import org.carobdoor.internal.request.Prompt;
+import org.carobdoor.internal.retries.GiveUpReason;
 import org.carobdoor.node.gateway.endpoint.Endpoint;
 import org.carobdoor.node.gateway.front.Exchange;
 import org.carobdoor.node.gateway.front.Refusal;
@@ -61,6 +61,7 @@
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private @Nullable EndpointAttempt attempt;
     private @Nullable EventBuffer events;
+    private @Nullable GiveUpReason gaveUp;
     private int sends;
     private int connectFailures;
     private boolean mayHaveRun;
@@ -84,7 +85,7 @@
 
     void start() {
         exchange.setListener(this);
-        state.budget(service.name()).onRequest();
+        state.retries().onRequest(service.name());
         long left = call.deadlineNanos() - System.nanoTime();
         deadlineTimer = state.loop().schedule(this::timeOut, left, TimeUnit.NANOSECONDS);
         call.request().prompt().ifPresent(p -> state.addWork(service.name(), EngineWork.millis(p)));
@@ -155,24 +156,39 @@
     /** Tries again after an attempt that failed, if that is allowed; else ends the request. */
     private void placeAgain(String cause, boolean attemptNotRun, boolean countsAsSend) {
         mayHaveRun |= !attemptNotRun;
-        boolean repeatable = attemptNotRun || route.isRepeatable();
-        boolean attemptsLeft = !countsAsSend || sends < route.maxAttempts();
-        boolean allowed =
-                repeatable
-                        && attemptsLeft
-                        && connectFailures <= MAX_CONNECT_FAILURES
-                        && (!countsAsSend || state.budget(service.name()).tryTake(Instant.now()));
-        if (!allowed) {
+        Optional<GiveUpReason> reason = reasonToGiveUp(attemptNotRun, countsAsSend);
+        if (reason.isPresent()) {
+            gaveUp = reason.get();
             fail(cause, REJECTED_RETRY_MILLIS);
             return;
         }
+        logAgain(cause);
+        place();
+    }
+
+    /** Returns why the request must not be sent again; a retry is taken if it may be. */
+    private Optional<GiveUpReason> reasonToGiveUp(boolean attemptNotRun, boolean countsAsSend) {
+        if (!attemptNotRun && !route.isRepeatable()) {
+            return Optional.of(GiveUpReason.NOT_REPEATABLE);
+        }
+        if (connectFailures > MAX_CONNECT_FAILURES
+                || (countsAsSend && sends >= route.maxAttempts())) {
+            return Optional.of(GiveUpReason.ATTEMPTS);
+        }
+        if (countsAsSend && !state.retries().tryTake(service.name(), System.nanoTime())) {
+            return Optional.of(GiveUpReason.BUDGET);
+        }
+        return Optional.empty();
+    }
+
+    private void logAgain(String cause) {
         state.log()
                 .line("request.again")
                 .add("id", call.request().id())
+                .add("service", service.name())
                 .add("cause", cause)
                 .add("sends", sends)
                 .write();
-        place();
     }
 
     /** Ends the request without an endpoint's answer. */
@@ -333,6 +349,7 @@
         } else if (answer.isServerError() && mayTryElsewhere()) {
             body.release();
             mayHaveRun = true;
+            logAgain("status_" + answer.status());
             place();
         } else {
             end(Outcome.ANSWERED, "status_" + answer.status());
@@ -344,7 +361,7 @@
         return route.isRepeatable()
                 && sends < route.maxAttempts()
                 && hasAlternative()
-                && state.budget(service.name()).tryTake(Instant.now());
+                && state.retries().tryTake(service.name(), System.nanoTime());
     }
 
     private void giveBackQuota() {
@@ -385,6 +402,7 @@
                 .add("cause", cause)
                 .add("endpoints", tried)
                 .add("sends", sends)
+                .add("gave_up", gaveUp == null ? "-" : gaveUp)
                 .add("units", Math.round(call.units()))
                 .add("ms", millis)
                 .write();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -1,7 +1,6 @@
 package org.carobdoor.node.gateway.forward;
 
 import io.netty.channel.EventLoop;
-import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -9,7 +8,7 @@
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.internal.deployment.Configuration;
 import org.carobdoor.internal.duty.UsageCounts;
-import org.carobdoor.internal.retries.RetryBudget;
+import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
 import org.carobdoor.node.gateway.log.DecisionLog;
 
@@ -18,9 +17,6 @@
  * Belongs to the event loop.
  */
 public final class ForwardingState {
-    /** Keeps this node's share of the saved retries below the whole while nodes come and go. */
-    private static final double SAVED_SHARE = 0.8;
-
     /** A node that has just started reads its configuration well within this time. */
     private static final long CONFIGURATION_DUE_NANOS = 2_000_000_000L;
 
@@ -33,10 +29,8 @@
     private final DecisionLog log;
     private final RequestCounters counters = RequestCounters.create();
     private final RandomGenerator random;
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final RetryBudgets retries;
     private final Map<String, Double> workMillis = new HashMap<>();
-    private final double retryShare;
-    private final double retrySaved;
     private Optional<Configuration> configuration = Optional.empty();
     private Runnable onReady = () -> {};
     private boolean ready;
@@ -47,8 +41,7 @@
     /**
      * Creates the state of a node without a configuration.
      *
-     * @param retryShare the retries that all nodes may send for each request
-     * @param retrySaved the retries that all nodes may send whatever the number of requests
+     * @param retries the retry budgets of the services
      */
     public ForwardingState(
             EventLoop loop,
@@ -58,8 +51,7 @@
             UsageCounts usage,
             DecisionLog log,
             RandomGenerator random,
-            double retryShare,
-            double retrySaved) {
+            RetryBudgets retries) {
         this.loop = loop;
         this.zone = zone;
         this.endpoints = endpoints;
@@ -67,8 +59,7 @@
         this.usage = usage;
         this.log = log;
         this.random = random;
-        this.retryShare = retryShare;
-        this.retrySaved = retrySaved;
+        this.retries = retries;
         this.clockMillis = System.currentTimeMillis();
         this.clockAtNanos = System.nanoTime();
     }
@@ -105,7 +96,11 @@
         }
         nodes = count;
         accounts.setNodes(count, nowNanos);
-        budgets.clear();
+        retries.setNodes(count);
+        log.line("nodes.counted")
+                .add("nodes", count)
+                .add("saved_retries", Math.round(retries.savedHere() * 100) / 100.0)
+                .write();
         configuration.ifPresent(c -> endpoints.configure(c, count));
     }
 
@@ -168,12 +163,9 @@
         return random;
     }
 
-    RetryBudget budget(String service) {
-        return budgets.computeIfAbsent(
-                service,
-                s ->
-                        RetryBudget.createShare(
-                                retryShare, retrySaved * SAVED_SHARE / nodes, Instant.now()));
+    /** Returns the retry budgets of the services. */
+    public RetryBudgets retries() {
+        return retries;
     }
 
     void addWork(String service, double millis) {
