Add a failing simulation of the retries that all nodes send together

RetryBudgetsSimulationTest plays 62 nodes with restarts, rolling restarts and changes of the number of nodes, and checks each window of ten seconds.

--- /dev/null
+++ b/core/src/test/java/org/carobdoor/internal/retries/RetryBudgetsSimulationTest.java
@@ -0,0 +1,176 @@
+package org.carobdoor.internal.retries;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against retries of all nodes that exceed what they may send together. */
+final class RetryBudgetsSimulationTest {
+    private static final String SERVICE = "desk";
+    private static final double PER_REQUEST = 0.2;
+    private static final int STEP_MILLIS = 20;
+    private static final int STEPS_PER_SECOND = 1000 / STEP_MILLIS;
+    private static final int WINDOW_STEPS = 10 * STEPS_PER_SECOND;
+    private static final int DAY_STEPS = 60 * STEPS_PER_SECOND;
+    private static final int FAILURES_FROM = 15 * STEPS_PER_SECOND;
+    private static final int FAILURES_UNTIL = 45 * STEPS_PER_SECOND;
+
+    /** Interval at which a node looks at the list of nodes. */
+    private static final int LOOK_STEPS = 10;
+
+    private static final int GROUP = 62;
+
+    /** A group of nodes that fail, start and list each other, in front of endpoints that fail. */
+    private static final class Group {
+        final Random random;
+        final int size;
+        final double saved;
+        final double requestsPerStep;
+        final List<RetryBudgets> nodes = new ArrayList<>();
+        final int[] startedAt;
+        final int[] requests = new int[DAY_STEPS];
+        final int[] retries = new int[DAY_STEPS];
+        int listed;
+        double failing = 0.9;
+
+        Group(long seed, int size, double saved, double requestsPerSecond) {
+            this.random = new Random(seed);
+            this.size = size;
+            this.saved = saved;
+            this.requestsPerStep = requestsPerSecond / STEPS_PER_SECOND;
+            this.startedAt = new int[size];
+            this.listed = size;
+            for (int i = 0; i < size; i++) {
+                nodes.add(RetryBudgets.create(PER_REQUEST, saved));
+                nodes.get(i).setNodes(size);
+                startedAt[i] = -DAY_STEPS;
+            }
+        }
+
+        /** Replaces a node by one that knows no other. */
+        void restart(int node, int step) {
+            nodes.set(node, RetryBudgets.create(PER_REQUEST, saved));
+            startedAt[node] = step;
+        }
+
+        void play(int step) {
+            for (int i = 0; i < size; i++) {
+                if ((step + i) % LOOK_STEPS == 0) {
+                    nodes.get(i).setNodes(seenBy(i, step));
+                }
+            }
+            int arriving = (int) requestsPerStep;
+            arriving += random.nextDouble() < requestsPerStep - arriving ? 1 : 0;
+            boolean failures = step >= FAILURES_FROM && step < FAILURES_UNTIL;
+            for (int r = 0; r < arriving; r++) {
+                RetryBudgets node = nodes.get(random.nextInt(size));
+                requests[step]++;
+                node.onRequest(SERVICE);
+                for (int sends = 1; sends < 3; sends++) {
+                    boolean failed = failures && random.nextDouble() < failing;
+                    if (!failed || !node.tryTake(SERVICE, step * STEP_MILLIS * 1_000_000L)) {
+                        break;
+                    }
+                    retries[step]++;
+                }
+            }
+        }
+
+        /** A node that has just started sees the others as they are listed, over three seconds. */
+        private int seenBy(int node, int step) {
+            int known = (step - startedAt[node]) * size / (3 * STEPS_PER_SECOND);
+            return Math.clamp(known, 1, listed);
+        }
+
+        /** Checks the bound in each window, with the requests of it or of one shortly before. */
+        void check() {
+            double worst = Double.NEGATIVE_INFINITY;
+            int at = 0;
+            for (int end = WINDOW_STEPS; end < DAY_STEPS; end++) {
+                int most = 0;
+                for (int back : new int[] {0, WINDOW_STEPS / 2, WINDOW_STEPS}) {
+                    most = Math.max(most, sum(requests, end - back));
+                }
+                double excess = sum(retries, end) - PER_REQUEST * most - saved;
+                if (excess > worst) {
+                    worst = excess;
+                    at = end;
+                }
+            }
+            assertWithMessage(
+                            "%s retries in the ten seconds until %s ms, beyond the budget by",
+                            sum(retries, at), at * STEP_MILLIS)
+                    .that(worst)
+                    .isAtMost(0.0);
+        }
+
+        private static int sum(int[] counts, int end) {
+            int sum = 0;
+            for (int i = Math.max(0, end - WINDOW_STEPS); i < end; i++) {
+                sum += counts[i];
+            }
+            return sum;
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void retriesStayWithinTheBudgetWithoutChangesOfTheGroup(long seed) {
+        Group group = new Group(seed, GROUP, 164, 120);
+        for (int step = 0; step < DAY_STEPS; step++) {
+            group.play(step);
+        }
+        group.check();
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void retriesStayWithinTheBudgetWhenAllNodesRestart(long seed) {
+        Group group = new Group(seed, GROUP, 164, 120);
+        for (int step = 0; step < DAY_STEPS; step++) {
+            if (step == 20 * STEPS_PER_SECOND) {
+                for (int i = 0; i < GROUP; i++) {
+                    group.restart(i, step + group.random.nextInt(STEPS_PER_SECOND));
+                }
+            }
+            group.play(step);
+        }
+        group.check();
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void retriesStayWithinTheBudgetInARollingRestart(long seed) {
+        Group group = new Group(seed, GROUP, 164, 120);
+        for (int step = 0; step < DAY_STEPS; step++) {
+            int second = step / STEPS_PER_SECOND;
+            if (step % STEPS_PER_SECOND == 0 && second >= 15 && second < 45) {
+                group.restart(2 * (second - 15), step);
+                group.restart(2 * (second - 15) + 1, step);
+            }
+            group.play(step);
+        }
+        group.check();
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void retriesStayWithinTheBudgetWhenTheNumberOfNodesKeepsChanging(long seed) {
+        Group group = new Group(seed, GROUP, 164, 120);
+        for (int step = 0; step < DAY_STEPS; step++) {
+            if (step % STEPS_PER_SECOND == 0) {
+                group.listed = GROUP + group.random.nextInt(4);
+            }
+            group.play(step);
+        }
+        group.check();
+    }
+}
