Keep retry shares through changes of the group, and start them empty

Cause: the saved part of the budget was granted whenever a share was created. The class of the fault: a node's part of an allowance of the whole group that is derived from its present view and granted again when the view or the process is new.

Ruled out: the share per request (without changes of the group the simulation stays within the budget), and the 0.8 that leaves room for late views.

Change: a share starts empty and is earned by requests; a change of the number of nodes only moves how much of it may be kept. Whatever the order of starts and changes, all nodes together send at most the saved retries and the share of the requests of the same span.

--- a/core/src/main/java/org/carobdoor/internal/retries/RetryBudget.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryBudget.java
@@ -29,7 +29,7 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final double perRequest;
     private final double floorPerSecond;
-    private final double maxSaved;
+    private double maxSaved;
     private double balance;
     private Instant filledAt;
 
@@ -48,15 +48,26 @@
     }
 
     /**
-     * Returns this node's share of a budget that all nodes have together. In any span of time it
-     * grants at most {@code saved} retries and {@code perRequest} for each request in the span, so
-     * the shares of all nodes add up to the whole.
+     * Returns this node's share of a budget that all nodes have together. It is empty, since the
+     * run of this node before it may just have used the share. In any span of time it grants at
+     * most {@code maxSaved} retries and {@code perRequest} for each request in the span.
      *
      * @param perRequest the retries granted for each request of this node
-     * @param saved this node's share of the retries that are granted whatever the traffic
+     * @param maxSaved how many unused retries are kept for later
      */
-    public static RetryBudget createShare(double perRequest, double saved, Instant now) {
-        return new RetryBudget(perRequest, 0, saved, saved, now);
+    public static RetryBudget createShare(double perRequest, double maxSaved, Instant now) {
+        return new RetryBudget(perRequest, 0, maxSaved, 0, now);
+    }
+
+    /** Sets how many unused retries are kept for later; those beyond it are lost. */
+    public void setMaxSaved(double max) {
+        lock.lock();
+        try {
+            maxSaved = max;
+            balance = Math.min(max, balance);
+        } finally {
+            lock.unlock();
+        }
     }
 
     /** Counts a request of the entry. */
--- a/core/src/main/java/org/carobdoor/internal/retries/RetryBudgets.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryBudgets.java
@@ -9,6 +9,14 @@
  * The retry budgets of a node by service, each this node's share of what all nodes may send
  * together.
  *
+ * <p>A share is earned by requests, and up to an equal part of the saved retries may be kept. What
+ * is kept only shrinks when the number of nodes changes, and a new run of a node starts with
+ * nothing. All nodes together therefore send at most the saved retries and {@code perRequest} for
+ * each request in any span of time, whatever nodes start, stop or are told of each other.
+ *
+ * <p>Load answered: all nodes restart, or are replaced one after the other, while endpoints fail
+ * most of what is sent to them.
+ *
  * <pre>{@code
  * budgets.setNodes(peers.nodeCount());
  * budgets.onRequest(service);
@@ -45,10 +53,8 @@
 
     /** Sets the number of nodes that share the budgets, this one included. */
     public void setNodes(int count) {
-        if (count != nodes) {
-            nodes = count;
-            budgets.clear();
-        }
+        nodes = count;
+        budgets.values().forEach(b -> b.setMaxSaved(savedHere()));
     }
 
     /** Returns the retries that this node may save for a burst of failures. */
--- a/core/src/test/java/org/carobdoor/internal/retries/RetryBudgetsSimulationTest.java
+++ b/core/src/test/java/org/carobdoor/internal/retries/RetryBudgetsSimulationTest.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -128,7 +127,6 @@
         group.check();
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void retriesStayWithinTheBudgetWhenAllNodesRestart(long seed) {
@@ -144,7 +142,6 @@
         group.check();
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void retriesStayWithinTheBudgetInARollingRestart(long seed) {
@@ -160,7 +157,6 @@
         group.check();
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void retriesStayWithinTheBudgetWhenTheNumberOfNodesKeepsChanging(long seed) {
