Let nodes of large groups and nodes without traffic retry

Cause: a share held at most 0.8 of the fixed retries divided by the nodes. With 164 for 380 nodes that is 0.35, and a retry takes 1: no node of a group of the size in CAPACITY could ever send a request again.

Change: RetryShare, in core, without a clock of its own. A part of the fixed retries is refilled over the window, the other may be kept; what the requests of the last two seconds earned may be kept as well, and each request earns less for it in the same proportion (0.167 of 0.2). A share that never holds a whole retry grants by chance what it holds. What was refilled before a node knew the others is taken back when it learns of them. RetryBudget serves the product's own interface only, as before.

Tests of the gateway start nodes with enough fixed retries to retry at once; what they check is the same.

--- a/core/src/main/java/org/carobdoor/internal/retries/RetryBudget.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryBudget.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * The retries that one catalogue entry or service may use: a share of its requests, and a few more
- * so that one with little traffic can retry at all. Safe for use by several threads.
+ * The retries that one catalogue entry may use: a share of its requests, and a few more so that one
+ * with little traffic can retry at all. Safe for use by several threads.
  *
  * <p>Without a budget, retries multiply the load just when endpoints fail from overload.
  *
@@ -29,7 +29,7 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final double perRequest;
     private final double floorPerSecond;
-    private double maxSaved;
+    private final double maxSaved;
     private double balance;
     private Instant filledAt;
 
@@ -47,29 +47,6 @@
         return new RetryBudget(PER_REQUEST, FLOOR_PER_SECOND, MAX_SAVED, 1, now);
     }
 
-    /**
-     * Returns this node's share of a budget that all nodes have together. It is empty, since the
-     * run of this node before it may just have used the share. In any span of time it grants at
-     * most {@code maxSaved} retries and {@code perRequest} for each request in the span.
-     *
-     * @param perRequest the retries granted for each request of this node
-     * @param maxSaved how many unused retries are kept for later
-     */
-    public static RetryBudget createShare(double perRequest, double maxSaved, Instant now) {
-        return new RetryBudget(perRequest, 0, maxSaved, 0, now);
-    }
-
-    /** Sets how many unused retries are kept for later; those beyond it are lost. */
-    public void setMaxSaved(double max) {
-        lock.lock();
-        try {
-            maxSaved = max;
-            balance = Math.min(max, balance);
-        } finally {
-            lock.unlock();
-        }
-    }
-
     /** Counts a request of the entry. */
     public void onRequest() {
         lock.lock();
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -91,7 +91,7 @@
                         log,
                         random,
                         RetryBudgets.create(
-                                settings.bounds().retryShare(), settings.bounds().retrySaved()));
+                                settings.bounds().retries(), random, System.nanoTime()));
         forwarder = Forwarder.create(state);
         state.onReady(forwarder::serveWaiting);
         long startedAt = System.currentTimeMillis();
--- a/node/src/main/java/org/carobdoor/node/gateway/RetryMetrics.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/RetryMetrics.java
@@ -12,9 +12,9 @@
         to.append("# TYPE ").append(NAME).append(" counter\n");
         budgets.eachGranted((service, n) -> count(to, service, "granted", n));
         budgets.eachDenied((service, n) -> count(to, service, "denied", n));
-        to.append("# TYPE carobdoor_gateway_retries_saved_max gauge\n")
-                .append("carobdoor_gateway_retries_saved_max ")
-                .append(budgets.savedHere())
+        to.append("# TYPE carobdoor_gateway_retries_per_window gauge\n")
+                .append("carobdoor_gateway_retries_per_window ")
+                .append(budgets.fixedPart())
                 .append('\n');
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -85,7 +85,7 @@
 
     void start() {
         exchange.setListener(this);
-        state.retries().onRequest(service.name());
+        state.retries().onRequest(service.name(), System.nanoTime());
         long left = call.deadlineNanos() - System.nanoTime();
         deadlineTimer = state.loop().schedule(this::timeOut, left, TimeUnit.NANOSECONDS);
         call.request().prompt().ifPresent(p -> state.addWork(service.name(), EngineWork.millis(p)));
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -96,10 +96,10 @@
         }
         nodes = count;
         accounts.setNodes(count, nowNanos);
-        retries.setNodes(count);
+        retries.setNodes(count, nowNanos);
         log.line("nodes.counted")
                 .add("nodes", count)
-                .add("saved_retries", Math.round(retries.savedHere() * 100) / 100.0)
+                .add("retries_per_window", Math.round(retries.fixedPart() * 100) / 100.0)
                 .write();
         configuration.ifPresent(c -> endpoints.configure(c, count));
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
@@ -1,6 +1,7 @@
 package org.carobdoor.node.gateway.settings;
 
 import java.time.Duration;
+import org.carobdoor.internal.retries.RetryAllowance;
 
 /**
  * Bounds that the platform sets for the nodes.
@@ -12,8 +13,7 @@
  * @param quotaTolerance the share of a quota that all nodes together may grant on top of it
  * @param reportsUsage whether usage is to be reported
  * @param ordersEndpoints whether endpoints are to be ordered
- * @param retryShare the retries that all nodes may send for each request
- * @param retrySaved the retries that all nodes may send whatever the number of requests
+ * @param retries the retries that all nodes together may send to a service
  */
 public record GatewayBounds(
         Duration stopGrace,
@@ -23,5 +23,4 @@
         double quotaTolerance,
         boolean reportsUsage,
         boolean ordersEndpoints,
-        double retryShare,
-        double retrySaved) {}
+        RetryAllowance retries) {}
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.carobdoor.Result;
 import org.carobdoor.clients.toml.TomlTable;
+import org.carobdoor.internal.retries.RetryAllowance;
 import org.carobdoor.node.settings.SettingsFile;
 
 /**
@@ -65,8 +66,10 @@
                 t.number("quota_tolerance", 0, 0, 1),
                 duties.contains("usage"),
                 duties.contains("scale"),
-                t.number("retry_share", 0.1, 0, 1),
-                t.number("retry_saved", 0, 0, MAX_RETRIES));
+                new RetryAllowance(
+                        t.number("retry_share", 0.1, 0, 1),
+                        t.number("retry_saved", 0, 0, MAX_RETRIES),
+                        time(t, "retry_window", Duration.ofSeconds(10)).toNanos()));
     }
 
     private static Duration time(TomlTable t, String key, Duration absent) {
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -61,9 +61,12 @@
             stop_grace = "3s"
             usage_window = "1s"
             retry_share = 0.2
-            retry_saved = 50
+            retry_saved = %d
             """;
 
+    /** Lets a node that has just started retry at once. */
+    private static final int ENOUGH_RETRIES = 5_000;
+
     private final HttpClient client =
             HttpClient.newBuilder()
                     .version(HttpClient.Version.HTTP_1_1)
@@ -79,6 +82,11 @@
     }
 
     static TestGateway start(String name, StoreStandIn store, CloudStandIn cloud) {
+        return start(name, store, cloud, ENOUGH_RETRIES);
+    }
+
+    static TestGateway start(
+            String name, StoreStandIn store, CloudStandIn cloud, int savedRetries) {
         String text =
                 String.format(
                         SETTINGS,
@@ -88,7 +96,8 @@
                         freePort(),
                         freePort(),
                         store.address().getPort(),
-                        cloud.address().getPort());
+                        cloud.address().getPort(),
+                        savedRetries);
         return new TestGateway(GatewaySettingsLoader.parse("test", text).orElseThrow());
     }
 
