Take a retry for a request that reached the wrong endpoint

What endpoints saw: a request that is answered 421, since its address now belongs to another endpoint, was sent on from endpoint to endpoint without a retry being taken; arrivals that are rejected count as well.

Cause: ForwardedCall took the send back from its count and skipped the budget together with the count of attempts.

Change: such a send uses no attempt of the route, but a retry.

Test: GatewayTest.misdirectedRequestsAreSentAgainOnlyWithinTheRetryBudget, 40 requests to two endpoints that answer 421: 80 arrivals before, at most 48 allowed; passes now with the rest of GatewayTest.

--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -63,6 +63,7 @@
     private @Nullable EventBuffer events;
     private @Nullable GiveUpReason gaveUp;
     private int sends;
+    private int misdirected;
     private int connectFailures;
     private boolean mayHaveRun;
     private boolean counted;
@@ -147,7 +148,7 @@
                 () -> {
                     state.counters().sent(sends > 0);
                     sends++;
-                    if (route.isRepeatable() && sends < route.maxAttempts()) {
+                    if (route.isRepeatable() && attemptsLeft()) {
                         a.watchForSlowness();
                     }
                 });
@@ -171,8 +172,7 @@
         if (!attemptNotRun && !route.isRepeatable()) {
             return Optional.of(GiveUpReason.NOT_REPEATABLE);
         }
-        if (connectFailures > MAX_CONNECT_FAILURES
-                || (countsAsSend && sends >= route.maxAttempts())) {
+        if (connectFailures > MAX_CONNECT_FAILURES || (countsAsSend && !attemptsLeft())) {
             return Optional.of(GiveUpReason.ATTEMPTS);
         }
         if (countsAsSend && !state.retries().tryTake(service.name(), System.nanoTime())) {
@@ -181,6 +181,10 @@
         return Optional.empty();
     }
 
+    private boolean attemptsLeft() {
+        return sends - misdirected < route.maxAttempts();
+    }
+
     private void logAgain(String cause) {
         state.log()
                 .line("request.again")
@@ -261,12 +265,11 @@
     @Override
     public void rejected(EndpointAnswer answer) {
         attempt = null;
-        boolean misdirected = answer.status() == MISDIRECTED;
-        if (misdirected) {
+        if (answer.status() == MISDIRECTED) {
             // Another endpoint has the address; the one that was meant saw nothing.
-            sends--;
+            misdirected++;
         }
-        placeAgain("rejected", true, !misdirected);
+        placeAgain("rejected", true, true);
     }
 
     @Override
@@ -359,7 +362,7 @@
 
     private boolean mayTryElsewhere() {
         return route.isRepeatable()
-                && sends < route.maxAttempts()
+                && attemptsLeft()
                 && hasAlternative()
                 && state.retries().tryTake(service.name(), System.nanoTime());
     }
--- a/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
@@ -130,6 +130,21 @@
         assertThat(plainRuns()).isEmpty();
     }
 
+    @Test
+    void misdirectedRequestsAreSentAgainOnlyWithinTheRetryBudget() throws InterruptedException {
+        first.setMode(BackendStandIn.Mode.MISDIRECT);
+        second.setMode(BackendStandIn.Mode.MISDIRECT);
+        int requests = 40;
+        try (TestGateway frugal = TestGateway.start("n2", store, cloud, 0)) {
+            TestGateway.await(frugal::isReady);
+            for (int i = 0; i < requests; i++) {
+                assertThat(frugal.get("/safe/a").statusCode()).isEqualTo(503);
+            }
+        }
+        // The settings allow a fifth of the requests.
+        assertThat(first.arrivals() + second.arrivals()).isAtMost(requests + requests / 5);
+    }
+
     @Test
     void streamArrivesWhole() {
         HttpResponse<String> r = node.post("/llm/a", "prompt");
--- a/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * An endpoint: answers each request with its own path and body, or a stream of numbered events, and
@@ -22,6 +23,8 @@
         NORMAL,
         /** Refuses without running. */
         REJECT,
+        /** Says that the request was meant for another endpoint. */
+        MISDIRECT,
         /** Runs the request and closes the connection without an answer. */
         BREAK,
         /** Breaks a stream off in the middle of its third event. */
@@ -36,6 +39,7 @@
     private static final int EVENTS = 5;
     private static final long SLOW_MILLIS = 500;
 
+    private final AtomicInteger arrivals = new AtomicInteger();
     private final List<Run> ledger = new CopyOnWriteArrayList<>();
     private final LocalHttp http = LocalHttp.start(this::serve);
     private final String id;
@@ -55,6 +59,11 @@
         mode = newMode;
     }
 
+    /** Returns how many requests have arrived, run or not. */
+    public int arrivals() {
+        return arrivals.get();
+    }
+
     /** Returns what it ran. */
     public List<Run> ledger() {
         return List.copyOf(ledger);
@@ -78,6 +87,11 @@
         Headers in = x.getRequestHeaders();
         Headers out = x.getResponseHeaders();
         out.set("X-Attempt-Id", in.getFirst("X-Attempt-Id"));
+        arrivals.incrementAndGet();
+        if (mode == Mode.MISDIRECT) {
+            LocalHttp.reply(x, 421, "");
+            return;
+        }
         if (mode == Mode.REJECT) {
             out.set("X-Not-Executed", "1");
             LocalHttp.reply(x, 503, "");
