Bound the memory of answers that do not end

What callers see: an endpoint in trouble that sends bytes without end used up the memory of the node, and with it all other requests of the node.

Cause: plain answers were kept until their end and an event of a stream until its empty line, whatever their size. Netty bounds a head, but not the empty lines or interim answers before it, nor what follows an answer to another request. The class: input without a bound on bytes, held by time only.

Change: AnswerSpace bounds the bytes that are held of all answers of a node, 32 MB, with a dynamic threshold for each: one answer may hold a quarter of what is free. ReceivedBytes counts before decoding, so what the decoder skips counts as well. A rejection is whole with its head, so a request whose rejection goes on without end counts as not run.

Elsewhere: ServiceClient and EngineCall of the product's own interface bound bodies and lines already; replies of the store and the cloud API are bounded by their aggregator.

Tests: EndlessAnswerTest, twelve ways to send without end, 30 requests at once beside others that are served, and a rejection.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -14,11 +14,17 @@
             EndpointEntry entry,
             long memoryTokens,
             int maxConnections,
+            AnswerSpace space,
             Runnable connectionOpened) {
         load = EndpointLoad.create(entry, memoryTokens, System.nanoTime());
         connections =
                 new EndpointConnections(
-                        loop, entry.address(), maxConnections, load::heard, connectionOpened);
+                        loop,
+                        entry.address(),
+                        maxConnections,
+                        space,
+                        load::heard,
+                        connectionOpened);
         load.setMaxRunning(maxConnections);
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -26,6 +26,7 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private final EndpointConnections pool;
+    private final ReceivedBytes received;
     private @Nullable Channel channel;
     private @Nullable AnswerListener listener;
     private @Nullable ChannelFuture written;
@@ -37,8 +38,9 @@
     private long idleSinceNanos;
     private long idleLimitNanos;
 
-    EndpointConnection(EndpointConnections pool, long idleLimitNanos) {
+    EndpointConnection(EndpointConnections pool, AnswerSpace space, long idleLimitNanos) {
         this.pool = pool;
+        this.received = new ReceivedBytes(space, () -> fail("the answer is too long"));
         this.idleLimitNanos = idleLimitNanos;
         this.idleSinceNanos = System.nanoTime();
     }
@@ -48,6 +50,16 @@
         channel = ctx.channel();
     }
 
+    /** Returns the handler that counts what arrives, for the pipeline. */
+    ReceivedBytes received() {
+        return received;
+    }
+
+    /** Notes that what has arrived of the answer has been passed on. */
+    void passedOn() {
+        received.release();
+    }
+
     boolean isOpen() {
         return channel != null && channel.isActive() && !broken;
     }
@@ -78,6 +90,7 @@
     void close() {
         listener = null;
         broken = true;
+        received.close();
         if (channel != null) {
             channel.close();
         }
@@ -154,6 +167,7 @@
         listener = null;
         boolean bodySent = written != null && written.isSuccess();
         if (reusable && bodySent && isOpen()) {
+            received.release();
             idleSinceNanos = System.nanoTime();
             setReading(true);
             pool.release(this);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnections.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnections.java
@@ -42,14 +42,21 @@
     private final InetSocketAddress address;
     private final LongConsumer heardAt;
     private final Runnable opened;
+    private final AnswerSpace space;
     private int open;
     private int maxOpen;
 
     EndpointConnections(
-            EventLoop loop, InetSocketAddress address, int max, LongConsumer heard, Runnable open) {
+            EventLoop loop,
+            InetSocketAddress address,
+            int max,
+            AnswerSpace space,
+            LongConsumer heard,
+            Runnable open) {
         this.loop = loop;
         this.address = address;
         this.maxOpen = max;
+        this.space = space;
         this.heardAt = heard;
         this.opened = open;
     }
@@ -89,12 +96,14 @@
     private void connect(Receiver receiver) {
         open++;
         opened.run();
-        EndpointConnection c = new EndpointConnection(this, usableIdleNanos(DEFAULT_IDLE_MILLIS));
+        EndpointConnection c =
+                new EndpointConnection(this, space, usableIdleNanos(DEFAULT_IDLE_MILLIS));
         ChannelFuture future =
                 Connector.connect(
                         loop,
                         address,
                         CONNECT_TIMEOUT_MILLIS,
+                        c.received(),
                         new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
                         c);
         future.addListener(
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -38,6 +38,7 @@
     private final Map<EndpointId, Endpoint> byId = new HashMap<>();
     private final Map<String, List<EndpointLoad>> byService = new HashMap<>();
     private final Map<String, Map<EndpointId, EndpointUse>> othersUse = new HashMap<>();
+    private final AnswerSpace answerSpace = AnswerSpace.create();
     private final EventLoop loop;
     private final DecisionLog log;
     private Optional<Configuration> configuration = Optional.empty();
@@ -107,6 +108,11 @@
         return connectionsOpened;
     }
 
+    /** Returns the bytes of answers that are held, since no caller has got them yet. */
+    public long answerBytesHeld() {
+        return answerSpace.held();
+    }
+
     /** Applies a configuration and the number of nodes, which bound the connections. */
     public void configure(Configuration newConfiguration, int nodeCount) {
         configuration = Optional.of(newConfiguration);
@@ -162,6 +168,7 @@
                         entry,
                         memoryTokens(entry.service()),
                         maxConnections(entry.service()),
+                        answerSpace,
                         () -> connectionsOpened++);
         byId.put(entry.id(), e);
         // Other nodes may have been told of the endpoint first.
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Send.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Send.java
@@ -64,6 +64,13 @@
         }
     }
 
+    /** Notes that what has arrived of the answer has been passed on. */
+    public void passedOn() {
+        if (connection != null) {
+            connection.passedOn();
+        }
+    }
+
     /** Abandons the answer: the endpoint sees its connection close. */
     @Override
     public void close() {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -212,6 +212,11 @@
         }
     }
 
+    /** Notes that what has arrived of the answer has been passed on. */
+    void passedOn() {
+        send.passedOn();
+    }
+
     /** Notes that the first token has arrived: the prompt has been read. */
     void promptRead() {
         if (unreadLeft > 0) {
@@ -252,9 +257,16 @@
 
     @Override
     public void onBroken(String detail) {
-        if (!closed) {
-            close();
-            record(SendOutcome.BROKEN, detail);
+        if (closed) {
+            return;
+        }
+        EndpointAnswer a = answer;
+        close();
+        record(SendOutcome.BROKEN, detail);
+        if (a != null && a.notExecuted()) {
+            // The head was whole, and what follows it changes nothing.
+            listener.rejected(a);
+        } else {
             listener.broken();
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -311,6 +311,7 @@
         }
         countRun(System.nanoTime());
         a.promptRead();
+        a.passedOn();
         startStream(head);
         exchange.writeStream(whole);
         if (!exchange.isWritable()) {
--- /dev/null
+++ b/node/src/test/java/org/carobdoor/node/gateway/EndlessAnswerTest.java
@@ -0,0 +1,109 @@
+package org.carobdoor.node.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.carobdoor.standins.gateway.BackendStandIn;
+import org.carobdoor.standins.gateway.CloudStandIn;
+import org.carobdoor.standins.gateway.EndlessStandIn;
+import org.carobdoor.standins.gateway.EndlessStandIn.Kind;
+import org.carobdoor.standins.gateway.StoreStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Guards against endpoints that use up a node by bytes without end, in a head or in a body. */
+final class EndlessAnswerTest {
+    /** What a node may hold of all answers, and as much again in the buffers of the system. */
+    private static final long MAX_SENT_BYTES = 64L << 20;
+
+    private static final long MAX_HELD_BYTES = 32L << 20;
+
+    /** Statuses that tell a caller that there is no answer. */
+    private static final List<Integer> FAILURES = List.of(502, 503, 504);
+
+    private StoreStandIn store;
+    private CloudStandIn cloud;
+
+    @BeforeEach
+    void start() {
+        store = StoreStandIn.start();
+        cloud = CloudStandIn.start();
+        store.put("op/config", TestGateway.configuration(1, ""));
+    }
+
+    @AfterEach
+    void stop() {
+        cloud.close();
+        store.close();
+    }
+
+    private TestGateway startNode() throws InterruptedException {
+        TestGateway node = TestGateway.start("n1", store, cloud);
+        TestGateway.await(node::isReady);
+        return node;
+    }
+
+    private static long held(TestGateway node) {
+        return Long.parseLong(node.metric("carobdoor_gateway_answer_bytes_held"));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Kind.class)
+    void answerWithoutEndIsLeftAndItsMemoryIsFreed(Kind kind) throws InterruptedException {
+        try (EndlessStandIn endless = EndlessStandIn.start(kind)) {
+            endless.register(store, "i-1", kind == Kind.EVENT ? "llm" : "desk");
+            try (TestGateway node = startNode()) {
+                String path = kind == Kind.EVENT ? "/llm/a" : "/safe/a";
+                assertThat(FAILURES).contains(node.post(path, "").statusCode());
+                TestGateway.await(() -> endless.openAnswers() == 0);
+                assertThat(endless.sent()).isGreaterThan(0L);
+                assertThat(endless.sent()).isAtMost(MAX_SENT_BYTES);
+                assertThat(held(node)).isEqualTo(0);
+            }
+        }
+    }
+
+    @Test
+    void rejectionWithoutEndIsNotRun() throws InterruptedException {
+        try (EndlessStandIn endless = EndlessStandIn.start(Kind.REJECTION)) {
+            endless.register(store, "i-1", "desk");
+            try (TestGateway node = startNode()) {
+                assertThat(node.post("/once/a", "bid").statusCode()).isEqualTo(503);
+                assertThat(endless.sent()).isGreaterThan(0L);
+            }
+        }
+    }
+
+    @Test
+    void othersAreServedWhileManyAnswersDoNotEnd() throws InterruptedException {
+        int callers = 30;
+        try (EndlessStandIn endless = EndlessStandIn.start(Kind.LENGTH);
+                BackendStandIn engine = BackendStandIn.start("i-2");
+                ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            endless.register(store, "i-1", "desk");
+            engine.register(store, "llm", "ready");
+            try (TestGateway node = startNode()) {
+                List<CompletableFuture<Integer>> answers = new ArrayList<>();
+                for (int i = 0; i < callers; i++) {
+                    answers.add(
+                            CompletableFuture.supplyAsync(
+                                    () -> node.get("/safe/a").statusCode(), threads));
+                }
+                while (answers.stream().anyMatch(a -> !a.isDone())) {
+                    assertThat(node.post("/llm/a", "prompt").statusCode()).isEqualTo(200);
+                    assertThat(held(node)).isAtMost(MAX_HELD_BYTES);
+                }
+                answers.forEach(a -> assertThat(FAILURES).contains(a.join()));
+                TestGateway.await(() -> endless.openAnswers() == 0);
+                assertThat(held(node)).isEqualTo(0);
+            }
+        }
+    }
+}
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -11,6 +11,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.carobdoor.node.gateway.settings.GatewaySettings;
 import org.carobdoor.node.gateway.settings.GatewaySettingsLoader;
@@ -74,7 +75,7 @@
                     .build();
     private final GatewaySettings settings;
     private final Gateway gateway;
-    private int next;
+    private final AtomicInteger next = new AtomicInteger();
 
     private TestGateway(GatewaySettings settings) {
         this.settings = settings;
@@ -125,10 +126,14 @@
 
     /** Returns how many nodes this one believes to be serving. */
     int nodeCount() {
+        return Integer.parseInt(metric("carobdoor_gateway_nodes"));
+    }
+
+    /** Returns the value of a metric without labels. */
+    String metric(String name) {
         String metrics =
                 send(HttpRequest.newBuilder(uri(settings.metrics(), "/metrics")).build()).body();
-        return Integer.parseInt(
-                metrics.replaceAll("(?s).*\ncarobdoor_gateway_nodes (\\d+)\n.*", "$1"));
+        return metrics.replaceAll("(?s).*\n" + name + " (\\S+)\n.*", "$1");
     }
 
     HttpResponse<String> get(String path) {
@@ -141,7 +146,7 @@
 
     HttpRequest.Builder request(String path) {
         return HttpRequest.newBuilder(uri(settings.callers(), path))
-                .header("X-Attempt-Id", settings.name() + "-" + ++next)
+                .header("X-Attempt-Id", settings.name() + "-" + next.incrementAndGet())
                 .header("X-Deadline-Milliseconds", "2500")
                 .header("Authorization", "Bearer key-1");
     }
--- a/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
@@ -4,7 +4,6 @@
 import com.sun.net.httpserver.HttpExchange;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -71,15 +70,7 @@
 
     /** Writes its entry into the store. */
     public void register(StoreStandIn store, String service, String state) {
-        InetSocketAddress a = http.address();
-        store.put(
-                "servers/" + id,
-                String.format(
-                        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"a\","
-                                + "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
-                                + "\"coldRemainingMs\":0,\"sequence\":1,"
-                                + "\"born\":1700000000000}",
-                        service, a.getAddress().getHostAddress(), a.getPort(), state));
+        store.putEndpoint(id, service, state, http.address());
     }
 
     private void serve(HttpExchange x) throws IOException {
--- a/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
@@ -74,6 +74,18 @@
         }
     }
 
+    /** Writes the entry of an endpoint, as the endpoint does. */
+    public void putEndpoint(String id, String service, String state, InetSocketAddress address) {
+        put(
+                "servers/" + id,
+                String.format(
+                        "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"a\","
+                                + "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+                                + "\"coldRemainingMs\":0,\"sequence\":1,"
+                                + "\"born\":1700000000000}",
+                        service, address.getAddress().getHostAddress(), address.getPort(), state));
+    }
+
     /** Deletes a key. */
     public void delete(String key) {
         lock.lock();
