Take requests only once the nodes that share the limits are counted

A node that has just started took requests as soon as it knew the configuration and the endpoints, and counted itself as the only node until its next tick, up to 0.2 s later, or for as long as the list could not be read. Until then it could open 0.9 of the connections that an endpoint accepts from all nodes, and divided the rest of a quota by one.

Change: a node is ready when it has counted the nodes as well, which it does with the list and not with the next tick. The list still has the entries of killed runs, whose leases last 12 s, so the count is right after a kill of all nodes too.

Test: GatewayTest.nodeTakesNoRequestsBeforeItKnowsHowManyNodesShareThe- Limits: ready without the list before; passes now with the rest of the class.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -64,6 +64,7 @@
     private final DecisionLog log;
     private final String run;
     private final long startedAtMillis;
+    private boolean nodesListed;
     private boolean directoryAway;
     private long directoryAnsweredNanos = System.nanoTime();
 
@@ -134,7 +135,7 @@
 
     /** Returns whether the node knows enough to serve. */
     public boolean isReady() {
-        return mirror.isReady();
+        return state.isReady();
     }
 
     /** Gives up the duties and leaves the list of nodes. */
@@ -182,7 +183,9 @@
         directory.expire(now);
         state.endpoints().sweep(now);
         state.endpoints().setSilentZones(peers.silentZones());
-        state.setNodes(peers.nodeCount(), now);
+        if (nodesListed) {
+            state.setNodes(peers.nodeCount(), now);
+        }
         state.setClock(clock.millis(now), now);
         ownWindows().forEach(w -> usage.report(run, w.window(), w.counts()));
     }
@@ -298,6 +301,8 @@
                 written(item);
             }
             peers.listedExactly(runs);
+            nodesListed = true;
+            state.setNodes(peers.nodeCount(), System.nanoTime());
             for (String key : List.of(OwnKeys.DUTY, OwnKeys.USAGE)) {
                 if (!keys.contains(key)) {
                     missing(key, revision);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
@@ -102,7 +102,7 @@
 
     private void noteReady() {
         if (isReady()) {
-            state.setReady();
+            state.setConfigured();
         }
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -33,8 +33,12 @@
     private final Map<String, Double> workMillis = new HashMap<>();
     private Optional<Configuration> configuration = Optional.empty();
     private Runnable onReady = () -> {};
+    private boolean configured;
     private boolean ready;
-    private int nodes = 1;
+
+    /** The nodes that share quotas, retries and connections; zero until they have been counted. */
+    private int nodes;
+
     private long clockMillis;
     private long clockAtNanos;
 
@@ -72,20 +76,26 @@
     }
 
     /** Notes that the configuration and the endpoints are known. */
-    public void setReady() {
-        if (!ready) {
+    public void setConfigured() {
+        configured = true;
+        becomeReady();
+    }
+
+    /** A node that does not know how many share a limit could spend all of it. */
+    private void becomeReady() {
+        if (!ready && configured && nodes > 0) {
             ready = true;
             onReady.run();
         }
     }
 
-    /** Sets what runs once the configuration and the endpoints are known. */
+    /** Sets what runs once this node may take requests. */
     public void onReady(Runnable task) {
         onReady = task;
     }
 
-    /** Returns whether the configuration and the endpoints are known. */
-    boolean isReady() {
+    /** Returns whether the configuration, the endpoints and the number of nodes are known. */
+    public boolean isReady() {
         return ready;
     }
 
@@ -102,6 +112,7 @@
                 .add("retries_per_window", Math.round(retries.fixedPart() * 100) / 100.0)
                 .write();
         configuration.ifPresent(c -> endpoints.configure(c, count));
+        becomeReady();
     }
 
     /** Sets the time that most nodes agree on. */
--- a/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
@@ -215,6 +215,21 @@
         }
     }
 
+    @Test
+    void nodeTakesNoRequestsBeforeItKnowsHowManyNodesShareTheLimits() throws InterruptedException {
+        store.refuseReads("carobdoor/");
+        try (TestGateway other = TestGateway.start("n2", store, cloud)) {
+            // The configuration and the endpoints are known by now.
+            Thread.sleep(1_000);
+            assertThat(other.isReady()).isFalse();
+            assertThat(other.get("/safe/a").statusCode()).isEqualTo(503);
+            store.refuseReads("");
+            TestGateway.await(other::isReady);
+            assertThat(other.nodeCount()).isEqualTo(2);
+            assertThat(other.get("/safe/a").statusCode()).isEqualTo(200);
+        }
+    }
+
     @Test
     void nodeWhoseEntryIsLostListsItselfAgain() throws InterruptedException {
         // A node is ready once it can serve, which may be before its own entry is written.
--- a/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
@@ -47,6 +47,7 @@
     private long historyFrom;
     private long nextLease = 100;
     private boolean down;
+    private String refusedPrefix = "";
 
     private StoreStandIn() {
         http = LocalHttp.start(this::serve);
@@ -118,6 +119,16 @@
         }
     }
 
+    /** Refuses reads of this prefix with 503 from now on; of none if it is empty. */
+    public void refuseReads(String prefix) {
+        lock.lock();
+        try {
+            refusedPrefix = prefix;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Discards the history: watches from an earlier revision are told so. */
     public void compact() {
         lock.lock();
@@ -191,6 +202,10 @@
     }
 
     private String range(Map<String, String> query) {
+        if (!refusedPrefix.isEmpty()
+                && query.getOrDefault("prefix", "").startsWith(refusedPrefix)) {
+            return "503 {}";
+        }
         ObjectNode out = JSON.createObjectNode();
         ArrayNode list = out.putArray("items");
         items.forEach(
