Choose the ports of test nodes outside the range of outgoing calls

TestGateway asked the system for free ports and closed them; before the node bound them, the system gave one to a connection of another test or run.

Change: ports from 20,000 to 31,999, each chosen once in a run and checked to be free. No check of a test changes.

--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -10,6 +11,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -65,6 +69,10 @@
             retry_saved = %d
             """;
 
+    private static final int FIRST_PORT = 20_000;
+    private static final int END_OF_PORTS = 32_000;
+    private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
+
     /** Lets a node that has just started retry at once. */
     private static final int ENOUGH_RETRIES = 5_000;
 
@@ -177,11 +185,19 @@
         return URI.create("http://" + "127.0.0.1:" + address.getPort() + path);
     }
 
+    /** Returns a port outside the range from which the system takes ports of outgoing calls. */
     private static int freePort() {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_OF_PORTS);
+            if (USED_PORTS.add(port)) {
+                try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                    return s.getLocalPort();
+                } catch (BindException e) {
+                    // Another program has it.
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
         }
     }
 
