Keep one copy of the status interval, and call one rule for retries

- The interval at which nodes report stood in Peers and in AccountQuota; StatusInterval, in core, holds it now.
- ForwardedCall.placeAgain had a flag for the one failure that sends nothing, and mayTryElsewhere repeated the rule for server errors.
The unreachable case has its own few lines, the rest calls reasonToGiveUp.
- Mirror.isReady had lost its callers outside the class.
- HttpServerTest chose its port as TestGateway had; both use FreePorts.

Tests: GatewayTest, EndlessAnswerTest, HttpServerTest, AccountQuotaTest, RetryBudgetsSimulationTest, formatter and linter pass.

--- a/core/src/main/java/org/carobdoor/internal/peers/package-info.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/package-info.java
@@ -1,4 +1,4 @@
-/** Which runs of other nodes exist, and which of them are heard. */
+/** Which runs of other nodes exist, which of them are heard, and how often they report. */
 @NullMarked
 package org.carobdoor.internal.peers;
 
--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.random.RandomGenerator;
 import org.carobdoor.internal.deployment.QuotaLimit;
+import org.carobdoor.internal.peers.StatusInterval;
 
 /**
  * The quota of one client account as one node sees it: what all nodes together have granted in the
@@ -22,12 +23,6 @@
  * nodes that cannot reach each other. Safe for use by several threads.
  */
 public final class AccountQuota {
-    /** The interval of the reports of a small group. */
-    private static final long REPORT_NANOS = 200_000_000L;
-
-    /** Reports come less often from many nodes. */
-    private static final long REPORT_NANOS_PER_NODE = 15_000_000L;
-
     /** A node of which this many reports are missing counts as cut off. */
     private static final int MISSING_REPORTS = 3;
 
@@ -263,7 +258,7 @@
     }
 
     private long reportNanos() {
-        return Math.max(REPORT_NANOS, REPORT_NANOS_PER_NODE * nodes);
+        return StatusInterval.nanos(nodes);
     }
 
     private double allowed() {
--- a/core/src/test/java/org/carobdoor/internal/retries/RetryBudgetsSimulationTest.java
+++ b/core/src/test/java/org/carobdoor/internal/retries/RetryBudgetsSimulationTest.java
@@ -157,6 +157,15 @@
         }
     }
 
+    private static void playWithOneRestartOfAll(Group group) {
+        group.playDay(
+                step -> {
+                    if (step == 20 * STEPS_PER_SECOND) {
+                        group.restartAll(step);
+                    }
+                });
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void retriesStayWithinTheBudgetWithoutChangesOfTheGroup(long seed) {
@@ -169,12 +178,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void retriesStayWithinTheBudgetWhenAllNodesRestart(long seed) {
         Group group = new Group(seed, GROUP, REQUESTS_PER_SECOND);
-        group.playDay(
-                step -> {
-                    if (step == 20 * STEPS_PER_SECOND) {
-                        group.restartAll(step);
-                    }
-                });
+        playWithOneRestartOfAll(group);
         group.check();
     }
 
@@ -223,12 +227,7 @@
     @ValueSource(longs = {1, 2, 3})
     void retriesOfALargeGroupStayWithinTheBudgetWhenAllNodesRestart(long seed) {
         Group group = new Group(seed, LARGE_GROUP, LARGE_REQUESTS_PER_SECOND);
-        group.playDay(
-                step -> {
-                    if (step == 20 * STEPS_PER_SECOND) {
-                        group.restartAll(step);
-                    }
-                });
+        playWithOneRestartOfAll(group);
         group.check();
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Mirror.java
@@ -54,11 +54,6 @@
         return directory.revision();
     }
 
-    /** Returns whether the node knows enough to serve. */
-    boolean isReady() {
-        return configurationItem != null && directory.isLoaded();
-    }
-
     /** Applies a configuration, unless one at least as new is in force. */
     void applyConfiguration(StoreItem item, String source) {
         if (item.revision() <= configurationRevision()) {
@@ -68,7 +63,7 @@
             case Result.Ok<Configuration>(Configuration c) -> {
                 configurationItem = item;
                 state.configure(c, System.nanoTime());
-                noteReady();
+                noteConfigured();
                 log.line("configuration.applied")
                         .add("version", c.version())
                         .add("revision", item.revision())
@@ -97,11 +92,11 @@
             }
         }
         directory.replaceAll(entries, revisions, revision, System.nanoTime());
-        noteReady();
+        noteConfigured();
     }
 
-    private void noteReady() {
-        if (isReady()) {
+    private void noteConfigured() {
+        if (configurationItem != null && directory.isLoaded()) {
             state.setConfigured();
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/Peers.java
@@ -12,6 +12,7 @@
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.NodeId;
 import org.carobdoor.internal.peers.PeerRuns;
+import org.carobdoor.internal.peers.StatusInterval;
 import org.carobdoor.internal.quota.NodeCensus;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.message.NodeStatus;
@@ -45,12 +46,6 @@
     /** Three statuses of each node of a zone are missing: the zone is cut off, or all are gone. */
     private static final long ZONE_SILENT_NANOS = 650_000_000L;
 
-    /** The status interval of a small group; it grows so that a node's messages stay bounded. */
-    private static final long MIN_STATUS_MILLIS = 200;
-
-    /** Each further node lengthens the interval by this much: at most 66 messages a second. */
-    private static final long STATUS_MILLIS_PER_NODE = 15;
-
     /** How long this node must be behind another one before it asks, so that the store is first. */
     private static final long BEHIND_NANOS = 150_000_000L;
 
@@ -172,7 +167,7 @@
 
     /** Returns the zones of other nodes, none of whose nodes has been heard lately. */
     Set<AvailabilityZone> silentZones() {
-        long silence = ZONE_SILENT_NANOS + STATUS_MILLIS_PER_NODE * 1_000_000L * addresses.size();
+        long silence = ZONE_SILENT_NANOS + StatusInterval.NANOS_PER_NODE * addresses.size();
         Set<AvailabilityZone> silent = runs.silentZones(silence, System.nanoTime());
         silent.remove(ownZone);
         return silent;
@@ -214,8 +209,8 @@
         if (stopped) {
             return;
         }
-        long interval = Math.max(MIN_STATUS_MILLIS, STATUS_MILLIS_PER_NODE * addresses.size());
-        loop.schedule(this::sendStatus, interval, TimeUnit.MILLISECONDS);
+        long interval = StatusInterval.nanos(addresses.size());
+        loop.schedule(this::sendStatus, interval, TimeUnit.NANOSECONDS);
         GuardedTask.run("status", this::exchangeStatus, log);
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -155,30 +155,32 @@
     }
 
     /** Tries again after an attempt that failed, if that is allowed; else ends the request. */
-    private void placeAgain(String cause, boolean attemptNotRun, boolean countsAsSend) {
+    private void placeAgain(String cause, boolean attemptNotRun) {
         mayHaveRun |= !attemptNotRun;
-        Optional<GiveUpReason> reason = reasonToGiveUp(attemptNotRun, countsAsSend);
+        Optional<GiveUpReason> reason = reasonToGiveUp(attemptNotRun);
         if (reason.isPresent()) {
-            gaveUp = reason.get();
-            fail(cause, REJECTED_RETRY_MILLIS);
-            return;
+            giveUp(reason.get(), cause);
+        } else {
+            logAgain(cause);
+            place();
         }
-        logAgain(cause);
-        place();
+    }
+
+    private void giveUp(GiveUpReason reason, String cause) {
+        gaveUp = reason;
+        fail(cause, REJECTED_RETRY_MILLIS);
     }
 
     /** Returns why the request must not be sent again; a retry is taken if it may be. */
-    private Optional<GiveUpReason> reasonToGiveUp(boolean attemptNotRun, boolean countsAsSend) {
+    private Optional<GiveUpReason> reasonToGiveUp(boolean attemptNotRun) {
         if (!attemptNotRun && !route.isRepeatable()) {
             return Optional.of(GiveUpReason.NOT_REPEATABLE);
         }
-        if (connectFailures > MAX_CONNECT_FAILURES || (countsAsSend && !attemptsLeft())) {
+        if (!attemptsLeft()) {
             return Optional.of(GiveUpReason.ATTEMPTS);
         }
-        if (countsAsSend && !state.retries().tryTake(service.name(), System.nanoTime())) {
-            return Optional.of(GiveUpReason.BUDGET);
-        }
-        return Optional.empty();
+        boolean taken = state.retries().tryTake(service.name(), System.nanoTime());
+        return taken ? Optional.empty() : Optional.of(GiveUpReason.BUDGET);
     }
 
     private boolean attemptsLeft() {
@@ -259,7 +261,13 @@
     public void unreachable() {
         attempt = null;
         connectFailures++;
-        placeAgain("unreachable", true, false);
+        if (connectFailures > MAX_CONNECT_FAILURES) {
+            giveUp(GiveUpReason.ATTEMPTS, "unreachable");
+        } else {
+            // Nothing was sent, so this takes no retry.
+            logAgain("unreachable");
+            place();
+        }
     }
 
     @Override
@@ -269,7 +277,7 @@
             // Another endpoint has the address; the one that was meant saw nothing.
             misdirected++;
         }
-        placeAgain("rejected", true, true);
+        placeAgain("rejected", true);
     }
 
     @Override
@@ -280,7 +288,7 @@
     @Override
     public void slow() {
         attempt = null;
-        placeAgain("slow_endpoint", false, true);
+        placeAgain("slow_endpoint", false);
     }
 
     @Override
@@ -293,7 +301,7 @@
         if (a != null && route.kind() != RouteKind.STREAMING) {
             countRun(a.sentNanos());
         }
-        placeAgain("broken", false, true);
+        placeAgain("broken", false);
     }
 
     @Override
@@ -350,7 +358,7 @@
             // The stream has begun with another endpoint's events: this answer cannot join them.
             body.release();
             fail("not_resumed", 0);
-        } else if (answer.isServerError() && mayTryElsewhere()) {
+        } else if (answer.isServerError() && hasAlternative() && reasonToGiveUp(false).isEmpty()) {
             body.release();
             mayHaveRun = true;
             logAgain("status_" + answer.status());
@@ -361,13 +369,6 @@
         }
     }
 
-    private boolean mayTryElsewhere() {
-        return route.isRepeatable()
-                && attemptsLeft()
-                && hasAlternative()
-                && state.retries().tryTake(service.name(), System.nanoTime());
-    }
-
     private void giveBackQuota() {
         call.account()
                 .flatMap(a -> state.accounts().quota(a.id()))
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -2,21 +2,16 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.BindException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import org.carobdoor.node.FreePorts;
 import org.carobdoor.node.gateway.settings.GatewaySettings;
 import org.carobdoor.node.gateway.settings.GatewaySettingsLoader;
 import org.carobdoor.standins.gateway.CloudStandIn;
@@ -69,10 +64,6 @@
             retry_saved = %d
             """;
 
-    private static final int FIRST_PORT = 20_000;
-    private static final int END_OF_PORTS = 32_000;
-    private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
-
     /** Lets a node that has just started retry at once. */
     private static final int ENOUGH_RETRIES = 5_000;
 
@@ -100,10 +91,10 @@
                 String.format(
                         SETTINGS,
                         name,
-                        freePort(),
-                        freePort(),
-                        freePort(),
-                        freePort(),
+                        FreePorts.next(),
+                        FreePorts.next(),
+                        FreePorts.next(),
+                        FreePorts.next(),
                         store.address().getPort(),
                         cloud.address().getPort(),
                         savedRetries);
@@ -185,22 +176,6 @@
         return URI.create("http://" + "127.0.0.1:" + address.getPort() + path);
     }
 
-    /** Returns a port outside the range from which the system takes ports of outgoing calls. */
-    private static int freePort() {
-        while (true) {
-            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, END_OF_PORTS);
-            if (USED_PORTS.add(port)) {
-                try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                    return s.getLocalPort();
-                } catch (BindException e) {
-                    // Another program has it.
-                } catch (IOException e) {
-                    throw new UncheckedIOException(e);
-                }
-            }
-        }
-    }
-
     @Override
     public void close() {
         gateway.close();
--- a/node/src/test/java/org/carobdoor/node/http/HttpServerTest.java
+++ b/node/src/test/java/org/carobdoor/node/http/HttpServerTest.java
@@ -5,13 +5,13 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.carobdoor.node.FreePorts;
 import org.carobdoor.node.metrics.NodeMetrics;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -23,15 +23,10 @@
     private static final int MAX_BODY = 2048;
 
     private final OkHttpClient client = new OkHttpClient();
-    private int port;
+    private final int port = FreePorts.next();
     private final HttpServer server = start();
 
     private HttpServer start() {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = s.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
         InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
         return HttpServer.start(
                         address,
