Log what a failed send has in common with others

send.failed now has the parts of the prompt, how long ago the answer had begun, and how many connections of this node to the endpoint remain open. No logic changes.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -41,6 +41,11 @@
         return new EndpointExchange(connections, maxIdleNanos);
     }
 
+    /** Returns the number of connections of this node to the endpoint. */
+    public int openConnections() {
+        return connections.openCount();
+    }
+
     /** Sets the maximum number of connections of this node to the endpoint. */
     void setMaxConnections(int max) {
         connections.setMaxOpen(max);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -78,6 +78,10 @@
                 (Math.min(MAX_IDLE_MILLIS, millis * USABLE_KEEP_ALIVE_FRACTION) * NANOS_PER_MILLI);
     }
 
+    int openCount() {
+        return openCount;
+    }
+
     void setMaxOpen(int max) {
         maxOpen = max;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -8,9 +8,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.carobdoor.internal.deployment.Account;
 import org.carobdoor.internal.deployment.RouteKind;
 import org.carobdoor.internal.health.SendOutcome;
@@ -30,6 +32,7 @@
  */
 final class EndpointAttempt implements ResponseListener, AutoCloseable {
     private static final int MAX_BODY_PARTS = 64;
+    private static final int MAX_LOGGED_PARTS = 8;
     private static final int MAX_URGENCY = 9;
 
     /**
@@ -58,6 +61,7 @@
 
     private final CallContext call;
     private final AttemptListener listener;
+    private final Endpoint endpoint;
     private final EndpointLoad load;
     private final EndpointExchange endpointExchange;
     private final double expectedMillis;
@@ -72,6 +76,8 @@
     private int remainingPrefillTokens;
     private boolean written;
     private boolean closed;
+    private boolean begun;
+    private long begunNanos;
     private long sentNanos;
 
     EndpointAttempt(
@@ -81,6 +87,7 @@
             AttemptListener listener) {
         this.call = call;
         this.listener = listener;
+        this.endpoint = endpoint;
         this.load = endpoint.load();
         this.expectedMillis = chosen.expectedMillis();
         this.prefillTokens = chosen.unreadTokens();
@@ -240,6 +247,10 @@
      * prompt.
      */
     void onFirstToken() {
+        if (!begun) {
+            begun = true;
+            begunNanos = now();
+        }
         if (remainingPrefillTokens > 0) {
             load.recordPrefillDone(remainingPrefillTokens);
             remainingPrefillTokens = 0;
@@ -308,11 +319,22 @@
                     .add("ms", written ? (now - sentNanos) / CallContext.NANOS_PER_MILLI : -1)
                     .add("failure_rate", Math.round(load.health().failureRate() * 100))
                     .add("ejected", load.health().isEjected(now))
+                    .add("begun_ms", begun ? (now - begunNanos) / CallContext.NANOS_PER_MILLI : -1)
+                    .add("open", endpoint.openConnections())
+                    .add("parts", promptParts())
                     .add("detail", '"' + detail + '"')
                     .write();
         }
     }
 
+    /** Returns the ids of the first parts of the prompt, for the log. */
+    private String promptParts() {
+        return call.request().prompt().map(Prompt::parts).orElse(List.of()).stream()
+                .limit(MAX_LOGGED_PARTS)
+                .map(p -> Long.toHexString(p.id()))
+                .collect(Collectors.joining(",", "[", "]"));
+    }
+
     private static long now() {
         return System.nanoTime();
     }
