Refuse requests with a feature that crashes endpoints

The new log lines show it: each of the crashes has one request whose answer had not begun, with the same two parts behind the part of the site, at whichever node; the others were in the middle of their answers.

Change: core.internal.quarantine. A node whose request was interrupted before its answer began tries to connect; a refusal confirms a crash, and the request features are reported to all nodes at once. A feature with three crashes and no complete answer in between, of two requests or more, is quarantined; several such features of one crash form a pattern, and only requests with all of them are refused, with 503, not_run and a Retry-After of at least a minute. A complete answer clears a feature on all nodes. Entries are kept in the store and read before a node is ready; nodes that missed one are found by a digest in the status. Plain requests have features too: method and path, and the whole request.

Evidence: CrashQuarantineSimulationTest, up to 380 nodes and 920 endpoints with loss, delay, restarts, a cut zone and racks that fail, and CrashingRequestTest with two daemons.

--- a/core/src/main/java/org/carobdoor/internal/retries/GiveUpReason.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/GiveUpReason.java
@@ -10,6 +10,8 @@
     DEADLINE,
     /** The request has used all its attempts. */
     ATTEMPTS,
+    /** A feature of the request is suspected of crashing endpoints, or quarantined. */
+    SUSPECT,
     /** The retry budget of the entry is exhausted. */
     BUDGET;
 
--- a/core/src/main/java/org/carobdoor/message/NodeStatus.java
+++ b/core/src/main/java/org/carobdoor/message/NodeStatus.java
@@ -17,6 +17,7 @@
  * @param endpoints endpoints with outstanding work of the node
  * @param windows usage counts of the most recent windows
  * @param workMillis engine time in milliseconds of the requests sent by the node, by service
+ * @param quarantineDigest combines the quarantined patterns of the node; 0 if there are none
  */
 public record NodeStatus(
         String node,
@@ -28,7 +29,8 @@
         List<AccountUse> accounts,
         List<EndpointUse> endpoints,
         List<UsageWindow> windows,
-        Map<String, Long> workMillis)
+        Map<String, Long> workMillis,
+        long quarantineDigest)
         implements NodeMessage {
     private static final char RUN_SEPARATOR = '@';
 
--- a/core/src/main/java/org/carobdoor/message/PeerMessage.java
+++ b/core/src/main/java/org/carobdoor/message/PeerMessage.java
@@ -6,6 +6,7 @@
                 LimitMessage,
                 LoadMessage,
                 NodeMessage,
+                QuarantineMessage,
                 Ping,
                 Pong,
                 ReplicaMessage,
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -87,9 +87,12 @@
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         loop = group.next();
         RandomGenerator random = RandomGenerator.getDefault();
+        long startedAt = System.currentTimeMillis();
+        String run = NodeStatus.runOf(settings.name(), startedAt);
         EndpointTable endpoints = EndpointTable.create(loop, log);
         state =
                 new ForwardingState(
+                        run,
                         loop,
                         settings.zone(),
                         endpoints,
@@ -104,8 +107,7 @@
                                 settings.bounds().retries(), random, System.nanoTime()));
         forwarder = Forwarder.create(state);
         state.onReady(forwarder::serveWaiting);
-        long startedAt = System.currentTimeMillis();
-        String run = NodeStatus.runOf(settings.name(), startedAt);
+        state.quarantine().onAdded(forwarder::abandonQuarantined);
         network =
                 TcpPeerNetwork.openOn(
                         group,
@@ -200,6 +202,7 @@
         StringBuilder text = new StringBuilder();
         state.counters().write(text);
         RetryMetrics.write(state.retries(), text);
+        state.quarantine().writeMetrics(text);
         controlLoop.writeMetrics(text);
         text.append("# TYPE carobdoor_gateway_caller_connections gauge\n")
                 .append("carobdoor_gateway_caller_connections ")
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -61,6 +61,7 @@
     private final StoreClient store;
     private final LocalStoreMirror mirror;
     private final PeerRegistry peers;
+    private final QuarantineSync quarantineSync;
     private final @Nullable DutyRunner dutyRunner;
     private final ClusterClock clock;
     private final ClusterUsage usage = ClusterUsage.create();
@@ -104,6 +105,8 @@
                         this::isDirectoryStale,
                         this,
                         log);
+        quarantineSync =
+                new QuarantineSync(loop, store, network, state.quarantine(), peers::sendToAll, log);
         dutyRunner =
                 settings.cloud()
                         .map(
@@ -138,6 +141,7 @@
                 this::batchDelayMillis,
                 new NodeKeysListener());
         peers.start();
+        quarantineSync.start();
         if (dutyRunner != null) {
             dutyRunner.start();
         }
@@ -225,7 +229,8 @@
                 state.accountQuotas().ownUse(peers.hasNewPeer(), now),
                 state.endpoints().ownUse(),
                 recentUsageWindows(),
-                state.workMillis());
+                state.workMillis(),
+                state.quarantine().digest());
     }
 
     @Override
@@ -235,6 +240,7 @@
         long age = message.timeMillis() - message.startedAtMillis();
         state.accountQuotas().applyNodeUse(message.run(), message.accounts(), age, now);
         state.endpoints().setRemoteUse(message.run(), message.endpoints());
+        quarantineSync.statusReceived(message);
         message.windows().forEach(w -> usage.report(message.run(), w.window(), w.counts()));
         if (dutyRunner != null) {
             dutyRunner.autoscaler().recordWork(message.run(), message.workMillis());
@@ -245,6 +251,7 @@
     public void peerRemoved(String peerRun) {
         state.accountQuotas().removeNode(peerRun);
         state.endpoints().removeRemoteUse(peerRun);
+        quarantineSync.peerRemoved(peerRun);
         if (dutyRunner != null) {
             dutyRunner.autoscaler().removeRun(peerRun);
         }
@@ -316,6 +323,7 @@
                 }
                 keyWritten(item);
             }
+            quarantineSync.loaded(items, revision);
             peers.replaceListed(runs);
             nodeListLoaded = true;
             state.setNodes(peers.nodeCount(), System.nanoTime());
@@ -341,6 +349,8 @@
                 String peerRun = item.key().substring(NodeStoreKeys.NODES_PREFIX.length());
                 PeerAddress.decode(peerRun, item.value())
                         .ifPresent(p -> peers.peerListed(p, item.revision()));
+            } else if (item.key().startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
+                quarantineSync.keyWritten(item);
             } else if (dutyRunner != null) {
                 dutyRunner.keyWritten(item);
             }
@@ -349,6 +359,8 @@
         private void keyMissing(String key, long revision) {
             if (key.startsWith(NodeStoreKeys.NODES_PREFIX)) {
                 peers.peerUnlisted(key.substring(NodeStoreKeys.NODES_PREFIX.length()));
+            } else if (key.startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
+                quarantineSync.keyDeleted(key, revision);
             } else if (dutyRunner != null) {
                 dutyRunner.keyMissing(key, revision);
             }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/NodeStoreKeys.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/NodeStoreKeys.java
@@ -8,6 +8,9 @@
     /** Prefix of the keys under which the runs of nodes are registered, each bound to a lease. */
     static final String NODES_PREFIX = PREFIX + "nodes/";
 
+    /** Prefix of the keys of quarantined request patterns. */
+    static final String QUARANTINE_PREFIX = PREFIX + "quarantine/";
+
     /** Key that names the duty holder, bound to its lease. */
     static final String DUTY_HOLDER = PREFIX + "duty";
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -16,6 +16,7 @@
 import org.carobdoor.internal.quota.RecentNodeCounter;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.message.NodeStatus;
+import org.carobdoor.message.PeerMessage;
 import org.carobdoor.message.StoreMirror;
 import org.carobdoor.message.StoreMirrorRequest;
 import org.carobdoor.node.gateway.log.DecisionLog;
@@ -227,9 +228,13 @@
         GuardedTask.run("status", this::broadcastStatus, log);
     }
 
+    /** Sends a message to all other nodes that are listed. */
+    void sendToAll(PeerMessage message) {
+        addresses.keySet().forEach(id -> network.send(id, message));
+    }
+
     private void broadcastStatus() {
-        NodeStatus s = ownStatus.get();
-        addresses.keySet().forEach(id -> network.send(id, s));
+        sendToAll(ownStatus.get());
         for (String ended : peerRuns.removeEnded(System.nanoTime())) {
             addresses.remove(new NodeId(ended));
             log.line("peer.gone").add("peer", ended).write();
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
@@ -60,6 +60,11 @@
                 callback);
     }
 
+    /** Deletes a key if it has the given revision. */
+    void delete(String key, long revision, Consumer<StoreAnswer> callback) {
+        call(StoreCalls.delete(key, revision), CALL_TIMEOUT_MILLIS, StoreReplies::write, callback);
+    }
+
     void acquireLease(long ttlMillis, Consumer<StoreAnswer> callback) {
         call(
                 StoreCalls.acquireLease(ttlMillis),
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -1,13 +1,18 @@
 package org.carobdoor.node.gateway.endpoint;
 
 import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.function.Consumer;
 import org.carobdoor.internal.directory.EndpointEntry;
 import org.carobdoor.internal.placement.EndpointLoad;
+import org.carobdoor.internal.quarantine.EndpointCrashDetector;
+import org.carobdoor.message.RequestFeatures;
 
 /** An endpoint with its load and this node's connections to it. Confined to the event loop. */
 public final class Endpoint implements AutoCloseable {
     private final EndpointLoad load;
     private final EndpointConnectionPool connections;
+    private final EndpointCrashDetector crashDetector = EndpointCrashDetector.create();
 
     Endpoint(
             EventLoop loop,
@@ -41,6 +46,32 @@
         return new EndpointExchange(connections, maxIdleNanos);
     }
 
+    /**
+     * Checks whether the endpoint has crashed, after it has closed the connection of a request
+     * whose answer had not begun or just begun.
+     *
+     * @param onCrash receives all such requests of this node if the endpoint has crashed
+     */
+    public void checkForCrash(RequestFeatures features, Consumer<List<RequestFeatures>> onCrash) {
+        if (!crashDetector.recordBroken(features, System.nanoTime())) {
+            return;
+        }
+        connections.probe(
+                result -> {
+                    switch (result) {
+                        case CONNECTED -> crashDetector.recordConnected();
+                        case UNANSWERED -> {}
+                        case REFUSED -> {
+                            List<RequestFeatures> suspects =
+                                    crashDetector.recordRefused(System.nanoTime());
+                            if (!suspects.isEmpty()) {
+                                onCrash.accept(suspects);
+                            }
+                        }
+                    }
+                });
+    }
+
     /** Returns the number of connections of this node to the endpoint. */
     public int openConnections() {
         return connections.openCount();
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -183,12 +183,20 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.onClosed(this);
-        fail("connection closed before the end of the response");
+        failLost("connection closed before the end of the response");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        fail("connection failed: " + cause);
+        failLost("connection failed: " + cause);
+    }
+
+    private void failLost(String detail) {
+        ResponseListener l = listener;
+        close();
+        if (l != null) {
+            l.onConnectionLost(detail);
+        }
     }
 
     private void fail(String detail) {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -2,12 +2,16 @@
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.carobdoor.node.gateway.net.Connector;
 
@@ -22,6 +26,16 @@
         void onFailure(String detail);
     }
 
+    /** The result of a connection attempt that carries no request. */
+    enum ProbeResult {
+        /** The endpoint accepted the connection. */
+        CONNECTED,
+        /** No process listens at the address. */
+        REFUSED,
+        /** The attempt timed out or failed otherwise. */
+        UNANSWERED
+    }
+
     /**
      * Connecting takes one round trip. Connecting for one second would mean that a packet was lost
      * and retransmitted.
@@ -135,6 +149,29 @@
                         });
     }
 
+    /** Attempts to connect, and closes the connection at once. */
+    void probe(Consumer<ProbeResult> callback) {
+        ChannelFuture future =
+                Connector.connect(
+                        loop, address, CONNECT_TIMEOUT_MILLIS, new ChannelInboundHandlerAdapter());
+        future.addListener(
+                (ChannelFutureListener)
+                        f -> {
+                            f.channel().close();
+                            callback.accept(probeResult(f));
+                        });
+    }
+
+    private static ProbeResult probeResult(ChannelFuture f) {
+        if (f.isSuccess()) {
+            return ProbeResult.CONNECTED;
+        }
+        boolean refused =
+                f.cause() instanceof ConnectException
+                        && !(f.cause() instanceof ConnectTimeoutException);
+        return refused ? ProbeResult.REFUSED : ProbeResult.UNANSWERED;
+    }
+
     void release(EndpointConnection c) {
         idle.addLast(c);
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointExchange.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointExchange.java
@@ -112,6 +112,12 @@
             connection = null;
             listener.onFailure(detail);
         }
+
+        @Override
+        public void onConnectionLost(String detail) {
+            connection = null;
+            listener.onConnectionLost(detail);
+        }
     }
 
     private EndpointConnection connection() {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/ResponseListener.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/ResponseListener.java
@@ -21,4 +21,10 @@
      * run.
      */
     void onFailure(String detail);
+
+    /**
+     * The connection was closed or reset before the response was complete; the request may have
+     * run.
+     */
+    void onConnectionLost(String detail);
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
@@ -26,8 +26,15 @@
     /** The complete response has arrived; the listener releases {@code body}. */
     void onResponse(HttpResponse head, EndpointAnswer decodedHead, ByteBuf body);
 
-    /** The response was interrupted or is invalid; the request may have run. */
-    void onBrokenResponse();
+    /**
+     * The response was interrupted or is invalid; the request may have run.
+     *
+     * @param crashPossible whether the request may have crashed the endpoint
+     */
+    void onBrokenResponse(boolean crashPossible);
+
+    /** The request matches a pattern that was quarantined after it arrived; nothing was sent. */
+    void onQuarantined();
 
     /** Returns whether another endpoint can take the request now. */
     boolean hasOtherEndpoint();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
@@ -7,6 +7,8 @@
 import org.carobdoor.internal.deployment.Service;
 import org.carobdoor.internal.request.CallerRequest;
 import org.carobdoor.internal.request.EndpointAnswer;
+import org.carobdoor.message.QuarantineEntry;
+import org.carobdoor.message.RequestFeatures;
 import org.carobdoor.node.gateway.front.Exchange;
 
 /**
@@ -18,6 +20,8 @@
  * @param route the route that matches the request
  * @param service the service that the request is sent to
  * @param account the caller's account; empty if the request is anonymous
+ * @param features the features by which the request is recognized if it crashes endpoints
+ * @param trial whether the request is the trial of a quarantined pattern, which is sent only once
  * @param units the units charged to the quota of the account
  * @param deadlineNanos when the response must be complete, in {@link System#nanoTime}
  */
@@ -28,6 +32,8 @@
         Route route,
         Service service,
         Optional<Account> account,
+        Optional<RequestFeatures> features,
+        boolean trial,
         double units,
         long deadlineNanos) {
     static final long NANOS_PER_MILLI = 1_000_000L;
@@ -36,6 +42,11 @@
         return (deadlineNanos - nowNanos) / NANOS_PER_MILLI;
     }
 
+    /** Returns the quarantine entry that forbids sending the request now, if there is one. */
+    Optional<QuarantineEntry> quarantineEntry() {
+        return trial ? Optional.empty() : features.flatMap(state.quarantine()::find);
+    }
+
     /** Returns whether a response is relayed event by event. */
     boolean isStream(EndpointAnswer decodedHead) {
         return route.kind() == RouteKind.STREAMING && decodedHead.isSuccess();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -13,6 +13,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.carobdoor.EndpointId;
 import org.carobdoor.internal.deployment.Account;
 import org.carobdoor.internal.deployment.RouteKind;
 import org.carobdoor.internal.health.SendOutcome;
@@ -21,6 +22,7 @@
 import org.carobdoor.internal.request.EndpointAnswer;
 import org.carobdoor.internal.request.EndpointRequest;
 import org.carobdoor.internal.request.Prompt;
+import org.carobdoor.message.RequestFeatures;
 import org.carobdoor.node.gateway.endpoint.Endpoint;
 import org.carobdoor.node.gateway.endpoint.EndpointExchange;
 import org.carobdoor.node.gateway.endpoint.ResponseListener;
@@ -56,6 +58,12 @@
      */
     private static final double SLOW_RESPONSE_FACTOR = 3;
 
+    /**
+     * A response that began less than this time before the connection broke may still be the one
+     * that the endpoint crashed on.
+     */
+    private static final long JUST_BEGUN_NANOS = 100 * CallContext.NANOS_PER_MILLI;
+
     /** Fraction of the route's latency objective before which an attempt is not considered slow. */
     private static final double SLOW_RESPONSE_OBJECTIVE_FRACTION = 0.5;
 
@@ -104,6 +112,11 @@
         return written;
     }
 
+    /** Returns whether the response has begun. */
+    boolean isBegun() {
+        return begun;
+    }
+
     /** Returns when the request was sent, in {@link System#nanoTime}. */
     long sentNanos() {
         return sentNanos;
@@ -146,6 +159,11 @@
             // The deadline timer ends the request.
             return;
         }
+        if (call.quarantineEntry().isPresent()) {
+            close();
+            listener.onQuarantined();
+            return;
+        }
         FullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -288,8 +306,30 @@
         }
     }
 
+    @Override
+    public void onConnectionLost(String detail) {
+        boolean answering = begun && now() - begunNanos >= JUST_BEGUN_NANOS;
+        boolean crashPossible = written && !answering && load.entry().accepting();
+        if (!closed && crashPossible) {
+            call.features().ifPresent(f -> endpoint.checkForCrash(f, this::recordCrash));
+        }
+        handleFailure(detail, crashPossible);
+    }
+
+    private void recordCrash(List<RequestFeatures> requests) {
+        // An endpoint that has been told to leave, or has left the directory, ends on purpose.
+        EndpointId id = load.entry().id();
+        if (load.entry().accepting() && call.state().endpoints().find(id).isPresent()) {
+            call.state().quarantine().recordCrash(id, requests);
+        }
+    }
+
     @Override
     public void onFailure(String detail) {
+        handleFailure(detail, false);
+    }
+
+    private void handleFailure(String detail, boolean crashPossible) {
         if (closed) {
             return;
         }
@@ -301,7 +341,7 @@
             // change that.
             listener.onRejected(a);
         } else {
-            listener.onBrokenResponse();
+            listener.onBrokenResponse(crashPossible);
         }
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -49,6 +49,9 @@
     /** Retry-After if a service has no endpoint: new ones are listed within seconds. */
     private static final long NO_ENDPOINT_RETRY_AFTER_MILLIS = 600;
 
+    /** Retry-After of a request whose pattern was quarantined while it waited to be sent. */
+    private static final long QUARANTINED_RETRY_AFTER_MILLIS = 60_000;
+
     /** Retry-After if endpoints rejected a request: their queues shrink within this time. */
     private static final long REJECTED_RETRY_AFTER_MILLIS = 250;
 
@@ -183,6 +186,9 @@
 
     /** Takes a retry from the budget; returns the reason if a retry is not allowed. */
     private Optional<GiveUpReason> acquireRetry(boolean attemptNotRun) {
+        if (call.trial()) {
+            return Optional.of(GiveUpReason.SUSPECT);
+        }
         if (!attemptNotRun && !route.isRepeatable()) {
             return Optional.of(GiveUpReason.NOT_REPEATABLE);
         }
@@ -304,7 +310,30 @@
     }
 
     @Override
-    public void onBrokenResponse() {
+    public void onQuarantined() {
+        attempt = null;
+        refuseQuarantined();
+    }
+
+    private void refuseQuarantined() {
+        giveUpReason = GiveUpReason.SUSPECT;
+        fail(ErrorResponse.QUARANTINED, QUARANTINED_RETRY_AFTER_MILLIS);
+    }
+
+    /**
+     * Abandons the request if it now matches a quarantined pattern and its response has not begun,
+     * so that the endpoint does not crash on it.
+     */
+    void abandonIfQuarantined() {
+        EndpointAttempt a = attempt;
+        if (a != null && a.isWritten() && !a.isBegun() && call.quarantineEntry().isPresent()) {
+            mayHaveRun |= closeAttempt();
+            refuseQuarantined();
+        }
+    }
+
+    @Override
+    public void onBrokenResponse(boolean crashPossible) {
         EndpointAttempt a = attempt;
         attempt = null;
         if (eventBuffer != null) {
@@ -313,7 +342,15 @@
         if (a != null && route.kind() != RouteKind.STREAMING) {
             countUsage(a.sentNanos());
         }
-        retryOrGiveUp("broken", false);
+        boolean suspect =
+                crashPossible && call.features().filter(state.quarantine()::isSuspect).isPresent();
+        if (suspect) {
+            // A further attempt of a request that has ended an endpoint would end another one.
+            mayHaveRun = true;
+            giveUp(GiveUpReason.SUSPECT, "broken");
+        } else {
+            retryOrGiveUp("broken", false);
+        }
     }
 
     @Override
@@ -348,6 +385,7 @@
 
     @Override
     public void onStreamEnd(HttpResponse head) {
+        recordAnswer();
         attempt = null;
         startStream(head);
         countUsage(System.nanoTime());
@@ -361,6 +399,7 @@
 
     @Override
     public void onResponse(HttpResponse head, EndpointAnswer decodedHead, ByteBuf body) {
+        recordAnswer();
         EndpointAttempt a = attempt;
         attempt = null;
         if (a != null) {
@@ -384,6 +423,14 @@
         }
     }
 
+    /** Records that the endpoint has answered completely, and so has not crashed on the request. */
+    private void recordAnswer() {
+        EndpointAttempt a = attempt;
+        if (a != null) {
+            call.features().ifPresent(f -> state.quarantine().recordAnswer(f, a.sentNanos()));
+        }
+    }
+
     private void refundQuota() {
         call.account()
                 .flatMap(a -> state.accountQuotas().quota(a.id()))
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.zip.CRC32C;
 import org.carobdoor.Failure;
 import org.carobdoor.Result;
 import org.carobdoor.internal.deployment.Account;
@@ -13,9 +14,12 @@
 import org.carobdoor.internal.deployment.Configuration;
 import org.carobdoor.internal.deployment.Route;
 import org.carobdoor.internal.deployment.Service;
+import org.carobdoor.internal.quarantine.FeatureExtractor;
+import org.carobdoor.internal.quarantine.QuarantineDecision;
 import org.carobdoor.internal.quota.QuotaDecision;
 import org.carobdoor.internal.request.CallerRequest;
 import org.carobdoor.internal.request.Prompt;
+import org.carobdoor.message.RequestFeatures;
 import org.carobdoor.node.gateway.front.ErrorResponse;
 import org.carobdoor.node.gateway.front.Exchange;
 import org.carobdoor.node.gateway.front.RequestHandler;
@@ -173,12 +177,29 @@
                 .forEach(w -> route(w.exchange, w.request));
     }
 
+    /** Abandons the unanswered requests that match a pattern that has just been quarantined. */
+    public void abandonQuarantined() {
+        List.copyOf(calls).forEach(ForwardedCall::abandonIfQuarantined);
+    }
+
     private void admit(
             Exchange exchange,
             CallerRequest request,
             Route route,
             Service service,
             Optional<Account> account) {
+        Optional<RequestFeatures> features = features(exchange, request, account);
+        QuarantineDecision quarantined =
+                features.filter(f -> !state.quarantine().isEmpty())
+                        .map(f -> state.quarantine().decide(request.id(), f))
+                        .orElse(new QuarantineDecision.Allowed());
+        if (quarantined instanceof QuarantineDecision.Refused(var entry, long retryAfter)) {
+            refuse(
+                    exchange,
+                    request.id(),
+                    ErrorResponse.unavailable(ErrorResponse.QUARANTINED, retryAfter));
+            return;
+        }
         double units =
                 account.flatMap(Account::quota)
                         .map(q -> q.unitsOf(request.prompt().map(Prompt::totalTokens).orElse(0L)))
@@ -205,6 +226,8 @@
                                 route,
                                 service,
                                 account,
+                                features,
+                                quarantined instanceof QuarantineDecision.Trial,
                                 units,
                                 exchange.arrivedNanos()
                                         + timeoutMillis * CallContext.NANOS_PER_MILLI);
@@ -215,6 +238,23 @@
         }
     }
 
+    private static Optional<RequestFeatures> features(
+            Exchange exchange, CallerRequest request, Optional<Account> account) {
+        if (request.prompt().isPresent()) {
+            return FeatureExtractor.ofPrompt(request.prompt().get());
+        }
+        CRC32C crc = new CRC32C();
+        crc.update(exchange.body().nioBuffer());
+        long bodyHash = (long) exchange.body().readableBytes() << Integer.SIZE | crc.getValue();
+        return Optional.of(
+                FeatureExtractor.ofPlainRequest(
+                        account.map(a -> a.id().value()).orElse(""),
+                        exchange.head().method().name(),
+                        request.path(),
+                        exchange.head().uri(),
+                        bodyHash));
+    }
+
     private void logQuotaExceeded(
             CallerRequest request, Optional<Account> account, double units, long now) {
         account.flatMap(a -> state.accountQuotas().quota(a.id()))
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -11,6 +11,7 @@
 import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
 import org.carobdoor.node.gateway.log.DecisionLog;
+import org.carobdoor.node.gateway.quarantine.RequestQuarantine;
 
 /**
  * The state shared by all requests of a node: the configuration, the endpoints, the quotas and the
@@ -30,6 +31,7 @@
     private final RequestCounters counters = RequestCounters.create();
     private final RandomGenerator random;
     private final RetryBudgets retries;
+    private final RequestQuarantine quarantine;
     private final Map<String, Double> workMillis = new HashMap<>();
     private Optional<Configuration> configuration = Optional.empty();
     private Runnable onReady = () -> {};
@@ -45,9 +47,11 @@
     /**
      * Creates the state of a node without a configuration.
      *
+     * @param run identifies the process of the node
      * @param retries the retry budgets of the services
      */
     public ForwardingState(
+            String run,
             EventLoop loop,
             AvailabilityZone zone,
             EndpointTable endpoints,
@@ -64,6 +68,7 @@
         this.log = log;
         this.random = random;
         this.retries = retries;
+        this.quarantine = RequestQuarantine.create(run, random, this::clusterMillis, log);
         this.clusterTimeMillis = System.currentTimeMillis();
         this.clusterTimeSetAtNanos = System.nanoTime();
     }
@@ -187,12 +192,24 @@
         return retries;
     }
 
+    /** Returns the requests that are not sent because they crash endpoints. */
+    public RequestQuarantine quarantine() {
+        return quarantine;
+    }
+
+    private long clusterMillis() {
+        return clusterMillis(System.nanoTime());
+    }
+
+    private long clusterMillis(long nowNanos) {
+        return clusterTimeMillis + (nowNanos - clusterTimeSetAtNanos) / 1_000_000L;
+    }
+
     void addEngineTime(String service, double millis) {
         workMillis.merge(service, millis, Double::sum);
     }
 
     void countUsage(String account, long nowNanos) {
-        usage.recordStart(
-                account, clusterTimeMillis + (nowNanos - clusterTimeSetAtNanos) / 1_000_000L);
+        usage.recordStart(account, clusterMillis(nowNanos));
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/ErrorResponse.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/ErrorResponse.java
@@ -13,6 +13,9 @@
  */
 public record ErrorResponse(int status, String cause, RunState runState, long retryAfterMillis) {
 
+    /** Cause of a refusal because requests like this one crash endpoints. */
+    public static final String QUARANTINED = "quarantined";
+
     /** The request does not fit the protocol or the configuration; a retry would fail too. */
     public static ErrorResponse rejected(int status, String cause) {
         return new ErrorResponse(status, cause, RunState.NOT_RUN, 0);
--- a/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
@@ -272,6 +272,9 @@
                     put.get("key").textValue(),
                     new Item(put.get("value").textValue(), revision, put.get("lease").longValue()));
         }
+        for (JsonNode key : request.get("deletes")) {
+            write(key.textValue(), null);
+        }
         return "200 {\"revision\":" + revision + "}";
     }
 
--- a/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
@@ -19,11 +19,14 @@
 import org.carobdoor.message.ClaimReply;
 import org.carobdoor.message.ClaimRequest;
 import org.carobdoor.message.ClaimUpdate;
+import org.carobdoor.message.CrashReport;
+import org.carobdoor.message.FeatureClearance;
 import org.carobdoor.message.LoadReport;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.PeerMessage;
 import org.carobdoor.message.Ping;
 import org.carobdoor.message.Pong;
+import org.carobdoor.message.QuarantineNotice;
 import org.carobdoor.message.ReplicaItems;
 import org.carobdoor.message.ReplicaPull;
 import org.carobdoor.message.StoreMirror;
@@ -66,6 +69,9 @@
             case NodeStatus m -> b.setNodeStatus(StatusCodec.encode(m)).build();
             case StoreMirrorRequest m -> b.setStoreMirrorRequest(StatusCodec.encode(m)).build();
             case StoreMirror m -> b.setStoreMirror(StatusCodec.encode(m)).build();
+            case CrashReport m -> b.setCrashReport(QuarantineCodec.encode(m)).build();
+            case FeatureClearance m -> b.setFeatureClearance(QuarantineCodec.encode(m)).build();
+            case QuarantineNotice m -> b.setQuarantineNotice(QuarantineCodec.encode(m)).build();
         };
     }
 
@@ -108,6 +114,9 @@
             case NODE_STATUS -> StatusCodec.decode(e.getNodeStatus());
             case STORE_MIRROR_REQUEST -> StatusCodec.decode(e.getStoreMirrorRequest());
             case STORE_MIRROR -> StatusCodec.decode(e.getStoreMirror());
+            case CRASH_REPORT -> QuarantineCodec.decode(e.getCrashReport());
+            case FEATURE_CLEARANCE -> QuarantineCodec.decode(e.getFeatureClearance());
+            case QUARANTINE_NOTICE -> QuarantineCodec.decode(e.getQuarantineNotice());
             case PAYLOAD_NOT_SET ->
                     throw new IllegalArgumentException("envelope contains no known message");
         };
--- a/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
@@ -21,7 +21,8 @@
                         .setTime(m.timeMillis())
                         .setConfigurationRevision(m.configurationRevision())
                         .setDirectoryRevision(m.directoryRevision())
-                        .putAllWorkMillis(m.workMillis());
+                        .putAllWorkMillis(m.workMillis())
+                        .setQuarantineDigest(m.quarantineDigest());
         for (AccountUse a : m.accounts()) {
             MessagesProto.AccountUse.Builder account =
                     b.addAccountsBuilder().setAccount(a.account()).setGranted(a.granted());
@@ -59,7 +60,8 @@
                 p.getWindowsList().stream()
                         .map(w -> new UsageWindow(w.getWindow(), w.getCountsMap()))
                         .toList(),
-                p.getWorkMillisMap());
+                p.getWorkMillisMap(),
+                p.getQuarantineDigest());
     }
 
     private static AccountUse decode(MessagesProto.AccountUse p) {
--- a/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
+++ b/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
@@ -21,15 +21,23 @@
 import org.carobdoor.message.ClaimReply;
 import org.carobdoor.message.ClaimRequest;
 import org.carobdoor.message.ClaimUpdate;
+import org.carobdoor.message.CrashId;
+import org.carobdoor.message.CrashReport;
 import org.carobdoor.message.EndpointUse;
+import org.carobdoor.message.FeatureClearance;
 import org.carobdoor.message.LoadReport;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.PeerMessage;
 import org.carobdoor.message.Ping;
 import org.carobdoor.message.Pong;
+import org.carobdoor.message.QuarantineEntry;
+import org.carobdoor.message.QuarantineNotice;
 import org.carobdoor.message.ReplicaItem;
 import org.carobdoor.message.ReplicaItems;
 import org.carobdoor.message.ReplicaPull;
+import org.carobdoor.message.RequestFeature;
+import org.carobdoor.message.RequestFeatures;
+import org.carobdoor.message.RequestPattern;
 import org.carobdoor.message.StoreMirror;
 import org.carobdoor.message.StoreMirrorRequest;
 import org.carobdoor.message.UsageWindow;
@@ -50,6 +58,15 @@
     private static final Instant T = Instant.ofEpochMilli(1_765_432_100_123L);
     private static final Bytes B = Bytes.utf8("0123456789abcdef");
 
+    private static final CrashId CRASH = new CrashId("i-1", 1_765_432_100_123L);
+
+    private static final RequestFeatures FEATURES =
+            new RequestFeatures(
+                    Stream.of(RequestFeature.Kind.values())
+                            .map(k -> new RequestFeature(k, -1L - k.ordinal()))
+                            .toList(),
+                    new RequestFeature(RequestFeature.Kind.PROMPT_PART, 7));
+
     private static final List<PeerMessage> EXAMPLES =
             Stream.concat(
                             Stream.of(ClaimReply.Outcome.values())
@@ -90,12 +107,25 @@
                                             List.of(new AccountUse("hay", 1.5, List.of(2.0, 0.5))),
                                             List.of(new EndpointUse("i-1", 2, 300L)),
                                             List.of(new UsageWindow(9L, Map.of("hay", 4L))),
-                                            Map.of("llm", 10L)),
+                                            Map.of("llm", 10L),
+                                            -11L),
                                     new StoreMirrorRequest(3L, 4L),
                                     new StoreMirror(
                                             List.of(new ReplicaItem("c", 1, false, B)),
                                             2L,
-                                            List.of(new ReplicaItem("e", 1, false, B)))))
+                                            List.of(new ReplicaItem("e", 1, false, B))),
+                                    new CrashReport(CRASH, List.of(FEATURES)),
+                                    new FeatureClearance(FEATURES.own(), List.of(CRASH)),
+                                    new QuarantineNotice(
+                                            List.of(
+                                                    new QuarantineEntry(
+                                                            new RequestPattern(FEATURES.shared()),
+                                                            1,
+                                                            "n@1",
+                                                            3,
+                                                            2,
+                                                            4,
+                                                            5)))))
                     .toList();
 
     @Test
