Reject store entries with numbers or addresses out of range

Reported from other systems: one odd entry among those of the servers ended the processes that read it, or stopped their watch.

GatewayTest.oddEntries...: a node entry with the port 99999 threw in the listener of the watch, so that a node that started with it never became ready, and a running one lost the other changes of that reply. An octet above 255 was resolved as a name, which blocks the event loop. Deep nesting was ruled out: it is rejected by the JSON reader, at 900 and at 100,000 levels.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -344,7 +344,12 @@
             }
         }
 
+        /** Applies a key so that a failure does not affect the others. */
         private void keyWritten(StoreItem item) {
+            GuardedTask.run("key " + item.key(), () -> applyKey(item), log);
+        }
+
+        private void applyKey(StoreItem item) {
             if (item.key().startsWith(NodeStoreKeys.NODES_PREFIX)) {
                 String peerRun = item.key().substring(NodeStoreKeys.NODES_PREFIX.length());
                 PeerAddress.decode(peerRun, item.value())
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerAddress.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import org.carobdoor.Bytes;
+import org.carobdoor.internal.Ipv4Address;
 import org.carobdoor.message.NodeStatus;
 
 /**
@@ -20,14 +21,9 @@
 
     /** Decodes the value of the node's key; empty if the value or the run is malformed. */
     static Optional<PeerAddress> decode(String run, Bytes value) {
-        String[] parts = value.toUtf8().split(" ", -1);
-        if (NodeStatus.nodeOf(run).isEmpty()
-                || parts.length != 2
-                || !parts[0].matches("[0-9.]{7,15}")
-                || !parts[1].matches("\\d{1,5}")) {
+        if (NodeStatus.nodeOf(run).isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(
-                new PeerAddress(run, new InetSocketAddress(parts[0], Integer.parseInt(parts[1]))));
+        return Ipv4Address.parse(value.toUtf8()).map(a -> new PeerAddress(run, a));
     }
 }
--- a/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
@@ -233,6 +233,34 @@
         }
     }
 
+    @Test
+    void oddEntriesAtStartAndLaterDoNotStopTheWatches() throws InterruptedException {
+        List<String> odd =
+                List.of(
+                        "[".repeat(100_000),
+                        "{\"service\":\"desk\",\"address\":\"10.0.0.1:99999\",\"zone\":\"a\","
+                                + "\"slots\":1,\"state\":\"ready\",\"sequence\":1}",
+                        "{\"service\":\"desk\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+                                + "\"slots\":1e999,\"state\":\"ready\",\"sequence\":1}");
+        for (int i = 0; i < odd.size(); i++) {
+            store.put("servers/odd-" + i, odd.get(i));
+            store.put("carobdoor/nodes/odd@" + i, odd.get(i));
+            store.put("carobdoor/quarantine/part-" + i, odd.get(i));
+        }
+        store.put("carobdoor/nodes/odd@7", "10.0.0.1 99999");
+        store.put("carobdoor/nodes/odd@8", "999.0.0.1 80");
+        try (TestGateway other = TestGateway.start("n2", store, cloud)) {
+            TestGateway.await(other::isReady);
+            // Changes that arrive with and after the odd entries still take effect.
+            first.register(store, "desk", "draining");
+            second.register(store, "desk", "draining");
+            for (TestGateway g : List.of(node, other)) {
+                TestGateway.await(() -> g.get("/safe/a").statusCode() == 503);
+                TestGateway.await(() -> g.nodeCount() == 2);
+            }
+        }
+    }
+
     @Test
     void nodeWithDeletedEntryRegistersAgain() throws InterruptedException {
         // A node is ready once it can serve, which may be before its own entry is written.
