Drop answers that name no request on reused connections

Reported from other systems: a faulty server repeated an earlier refusal on a kept connection, and callers were told "not run" for requests that it ran.

Shown here on by EndpointFaultsTest: an answer without a request id was taken for the answer to whatever request the connection carried. A repeated refusal gave 503 "not_run" to a request that was run, and a repeated success gave one caller the answer of another. A repeated answer with an id, the earlier one or a foreign one, was dropped before already.

An answer without an id is now accepted only as the first one on its connection, which is not used again.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -20,8 +20,9 @@
  * A connection to an endpoint, which carries one request at a time.
  *
  * <p>The connection is reused only if the response was framed, complete and for the request that
- * was sent, and if nothing else has arrived. Responses to other requests are dropped. A response
- * without a length is complete when the endpoint closes the connection, but not when it resets it.
+ * was sent, and if nothing else has arrived. Responses to other requests are dropped, as are those
+ * that name no request on a connection that has carried others. A response without a length is
+ * complete when the endpoint closes the connection, but not when it resets it.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private final EndpointConnectionPool pool;
@@ -30,6 +31,7 @@
     private @Nullable ResponseListener listener;
     private @Nullable ChannelFuture writeFuture;
     private String requestId = "";
+    private int requestCount;
     private boolean headSeen;
     private boolean skippingResponse;
     private boolean reusable = true;
@@ -77,6 +79,7 @@
     /** Sends a request and reports its response to {@code responseListener}. */
     void send(FullHttpRequest request, String newRequestId, ResponseListener responseListener) {
         requestId = newRequestId;
+        requestCount++;
         listener = responseListener;
         headSeen = false;
         skippingResponse = false;
@@ -126,11 +129,13 @@
             return;
         }
         EndpointAnswer decodedHead = EndpointHeaders.decode(head);
-        if (decodedHead.requestId() != null && !decodedHead.requestId().equals(requestId)) {
+        if (isForOtherRequest(decodedHead.requestId())) {
             skippingResponse = true;
             reusable = false;
             return;
         }
+        // A later response on this connection could not be told from a repetition of this one.
+        reusable &= decodedHead.requestId() != null;
         if (headSeen) {
             fail("second response to the same request");
             return;
@@ -146,6 +151,14 @@
         }
     }
 
+    /**
+     * Returns whether a response belongs to another request. An endpoint may repeat an earlier
+     * response, also without its request id; only the first response on a connection may lack one.
+     */
+    private boolean isForOtherRequest(@Nullable String id) {
+        return id == null ? requestCount > 1 : !id.equals(requestId);
+    }
+
     private void readContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         ResponseListener l = listener;
--- a/standins/src/main/java/org/carobdoor/standins/gateway/RawEndpointStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/RawEndpointStandIn.java
@@ -78,9 +78,11 @@
         }
     }
 
+    private static final int BACKLOG = 50;
     private static final String END_OF_HEAD = "\r\n\r\n";
 
     private final Responder responder;
+    private final InetSocketAddress address;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final List<Request> requests = new CopyOnWriteArrayList<>();
     private volatile ServerSocket server;
@@ -88,6 +90,7 @@
 
     private RawEndpointStandIn(ServerSocket server, Responder responder) {
         this.server = server;
+        this.address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
         this.responder = responder;
     }
 
@@ -96,7 +99,8 @@
         try {
             RawEndpointStandIn endpoint =
                     new RawEndpointStandIn(
-                            new ServerSocket(0, 50, InetAddress.getLoopbackAddress()), responder);
+                            new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()),
+                            responder);
             Thread.startVirtualThread(endpoint::accept);
             return endpoint;
         } catch (IOException e) {
@@ -106,11 +110,7 @@
 
     /** Registers this endpoint in the store as ready. */
     public void register(StoreStandIn store, String id, String service) {
-        store.putEndpoint(
-                id,
-                service,
-                "ready",
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()));
+        store.putEndpoint(id, service, "ready", address);
     }
 
     /** Returns the requests received, in the order of arrival. */
@@ -118,27 +118,35 @@
         return List.copyOf(requests);
     }
 
-    /** Ends this endpoint as a crash does; it listens again after {@code awayMillis}. */
+    /**
+     * Ends this endpoint as a crash does; it listens again after {@code awayMillis}. Has no effect
+     * while the endpoint is away.
+     */
     public void crash(long awayMillis) throws IOException {
-        int port = server.getLocalPort();
-        server.close();
+        synchronized (this) {
+            if (server.isClosed()) {
+                return;
+            }
+            server.close();
+        }
         for (Socket s : sockets) {
             s.close();
         }
-        Thread.startVirtualThread(() -> restart(port, awayMillis));
+        Thread.startVirtualThread(() -> restart(awayMillis));
     }
 
-    private void restart(int port, long awayMillis) {
+    private void restart(long awayMillis) {
         try {
             TimeUnit.MILLISECONDS.sleep(awayMillis);
             if (!closed) {
-                server = new ServerSocket();
-                server.setReuseAddress(true);
-                server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 50);
+                ServerSocket s = new ServerSocket();
+                s.setReuseAddress(true);
+                s.bind(address, BACKLOG);
+                server = s;
                 accept();
             }
         } catch (IOException e) {
-            throw new UncheckedIOException("cannot listen at port " + port + " again", e);
+            throw new UncheckedIOException("cannot listen at " + address + " again", e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
