Treat streams that end inside an event as broken off

Reported from other systems: a stream broke off, and the answer of the next server, an error, was found in its middle, or it looked complete.

After a stream was broken by a reset, an empty stream of the next endpoint ended the answer as complete, and a stream that began again at the first event was appended (2 of 7 cases). An error, a refusal, a 404, an answer without the signature and no answer never reached the caller there: that report is ruled out.

A stream is now complete only if it does not end inside an event and, where only the end of its connection marks its end, at least one event has come; a resumed stream must begin after the last event that was passed on.

--- a/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
@@ -20,6 +20,12 @@
     /** Bytes of a streamed response have arrived; the listener releases {@code content}. */
     void onStreamData(HttpResponse head, ByteBuf content);
 
+    /**
+     * Returns whether a streamed response that has ended is complete: it has not ended inside an
+     * event, and if only the end of its connection marks its end, at least one event has arrived.
+     */
+    boolean isStreamComplete(HttpResponse head);
+
     /** A streamed response is complete. */
     void onStreamEnd(HttpResponse head);
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -284,6 +284,10 @@
         if (closed || a == null || h == null) {
             return;
         }
+        if (call.isStream(a) && !a.notExecuted() && !listener.isStreamComplete(h)) {
+            onConnectionLost("stream ended inside an event or before its first one");
+            return;
+        }
         ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
         body = null;
         close();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EventBuffer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EventBuffer.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -11,6 +12,7 @@
  */
 final class EventBuffer implements AutoCloseable {
     private static final String ID_FIELD = "id:";
+    private static final String COMMENT_PREFIX = ":";
 
     private final ByteBuf pending;
     private @Nullable String lastId;
@@ -49,6 +51,34 @@
         return remainder;
     }
 
+    /** Returns whether the bytes after the last complete event belong to another event. */
+    boolean isInsideEvent() {
+        return pending.toString(StandardCharsets.UTF_8)
+                .lines()
+                .anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT_PREFIX));
+    }
+
+    /**
+     * Returns whether {@code events} begin after the event {@code lastId}, as far as both have
+     * numeric ids: ids increase in a stream.
+     */
+    static boolean continuesAfter(@Nullable String lastId, ByteBuf events) {
+        Optional<String> firstId =
+                events.toString(StandardCharsets.UTF_8)
+                        .lines()
+                        .filter(line -> line.startsWith(ID_FIELD))
+                        .findFirst()
+                        .map(line -> line.substring(ID_FIELD.length()).trim());
+        if (lastId == null || firstId.isEmpty()) {
+            return true;
+        }
+        try {
+            return Long.parseLong(firstId.get()) > Long.parseLong(lastId);
+        } catch (NumberFormatException e) {
+            return true;
+        }
+    }
+
     /** Discards a truncated event. */
     void discardPartialEvent() {
         pending.clear();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
@@ -361,11 +362,21 @@
             eventBuffer = e;
         }
         e.add(content);
+        String forwardedId = e.lastId();
         ByteBuf completeEvents = e.takeEvents();
         EndpointAttempt a = attempt;
         if (completeEvents == null || a == null) {
             return;
         }
+        if (!a.isBegun()
+                && streamStarted
+                && !EventBuffer.continuesAfter(forwardedId, completeEvents)) {
+            completeEvents.release();
+            closeAttempt();
+            mayHaveRun = true;
+            fail("not_resumed", 0);
+            return;
+        }
         countUsage(System.nanoTime());
         a.onFirstToken();
         a.markForwarded();
@@ -383,6 +394,15 @@
         }
     }
 
+    @Override
+    public boolean isStreamComplete(HttpResponse head) {
+        boolean framed =
+                HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+        EventBuffer e = eventBuffer;
+        EndpointAttempt a = attempt;
+        return (framed || (a != null && a.isBegun())) && (e == null || !e.isInsideEvent());
+    }
+
     @Override
     public void onStreamEnd(HttpResponse head) {
         recordAnswer();
--- a/node/src/test/java/org/carobdoor/node/gateway/EndpointFaultsTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/EndpointFaultsTest.java
@@ -149,4 +149,130 @@
             assertThat(endpoint.requests().getLast().number()).isGreaterThan(1);
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "500 with a stamp",
+                "503 not executed",
+                "404",
+                "empty stream",
+                "stream from the start",
+                "200 without a stamp",
+                "no answer"
+            })
+    void brokenStreamNeverContinuesWithAnotherAnswer(String next) throws Exception {
+        checkThatStreamIsNotContinued(next, RawEndpointStandIn.Connection::close);
+        node.close();
+        checkThatStreamIsNotContinued(
+                next,
+                connection -> {
+                    sleep();
+                    connection.reset();
+                });
+    }
+
+    private interface Break {
+        void apply(RawEndpointStandIn.Connection connection) throws IOException;
+    }
+
+    private void checkThatStreamIsNotContinued(String next, Break end) throws Exception {
+        AtomicInteger streams = new AtomicInteger();
+        Responder responder =
+                (request, connection) -> {
+                    if (streams.incrementAndGet() == 1) {
+                        connection.write(streamHead(request) + EVENT_1 + EVENT_2 + "id: 3\nda");
+                        end.apply(connection);
+                        return;
+                    }
+                    switch (next) {
+                        case "500 with a stamp" ->
+                                connection.write(
+                                        answer(
+                                                500,
+                                                idHeader(request),
+                                                "X-Server-Stamp: s\r\n",
+                                                "an error"));
+                        case "503 not executed" ->
+                                connection.write(
+                                        answer(
+                                                503,
+                                                idHeader(request),
+                                                "X-Not-Executed: 1\r\n",
+                                                "an error"));
+                        case "404" ->
+                                connection.write(answer(404, idHeader(request), "", "an error"));
+                        case "empty stream" -> {
+                            connection.write(streamHead(request));
+                            connection.close();
+                        }
+                        case "stream from the start" -> {
+                            connection.write(streamHead(request) + EVENT_1 + EVENT_2 + EVENT_3);
+                            connection.close();
+                        }
+                        case "200 without a stamp" ->
+                                connection.write(answer(200, idHeader(request), "", EVENT_3));
+                        default -> connection.close();
+                    }
+                };
+        try (RawEndpointStandIn first = startEndpoint("i-1", "llm", responder);
+                RawEndpointStandIn second = startEndpoint("i-2", "llm", responder)) {
+            startNode();
+            Optional<HttpResponse<String>> r = post("/llm/a");
+            assertWithMessage("response %s", r.map(HttpResponse::body)).that(r).isEmpty();
+            assertThat(streams.get()).isEqualTo(2);
+            assertThat(first.requests().size() + second.requests().size()).isEqualTo(2);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "id: 1\nda", EVENT_1 + EVENT_2 + "id: 3\ndata: c\n"})
+    void streamThatEndsWithItsConnectionInsideAnEventIsBroken(String sent) throws Exception {
+        try (RawEndpointStandIn engine = startEndpoint("i-1", "llm", stream(sent))) {
+            startNode();
+            Optional<HttpResponse<String>> r = post("/llm/a");
+            assertThat(r.map(HttpResponse::statusCode).orElse(502)).isEqualTo(502);
+            assertThat(engine.requests()).hasSize(1);
+        }
+    }
+
+    @Test
+    void streamThatEndsWithItsConnectionAfterAnEventIsComplete() throws Exception {
+        try (RawEndpointStandIn engine = startEndpoint("i-1", "llm", stream(EVENT_1 + EVENT_2))) {
+            startNode();
+            assertThat(post("/llm/a").map(HttpResponse::body)).hasValue(EVENT_1 + EVENT_2);
+            assertThat(engine.requests()).hasSize(1);
+        }
+    }
+
+    @Test
+    void streamThatIsResetAfterAnEventIsBroken() throws Exception {
+        Responder responder =
+                (request, connection) -> {
+                    connection.write(streamHead(request) + EVENT_1);
+                    sleep();
+                    connection.reset();
+                };
+        try (RawEndpointStandIn engine = startEndpoint("i-1", "llm", responder)) {
+            startNode();
+            assertThat(post("/llm/a")).isEmpty();
+            assertThat(engine.requests()).hasSize(1);
+        }
+    }
+
+    private static Responder stream(String events) {
+        return (request, connection) -> {
+            connection.write(streamHead(request) + events);
+            connection.close();
+        };
+    }
+
+    private static void sleep() throws IOException {
+        try {
+            Thread.sleep(100);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
 }
