Add a soak of gateways in front of engines that crash on a prompt part

bin/bench gateway-soak runs gateways as separate processes; engines crash on one part of a prompt and, in overlapping series, nodes are killed, stopped, suspended and reloaded, all of them killed at once, the store goes away or loses its history, the configuration changes and engines crash for other reasons. Clients keep their connections until the process is gone. It checks the sends after the fifth crash, sound requests that are refused, answers of other requests, incomplete streams and false refusals.

--- a/bench/src/main/java/org/carobdoor/bench/Bench.java
+++ b/bench/src/main/java/org/carobdoor/bench/Bench.java
@@ -5,6 +5,7 @@
 import org.carobdoor.bench.experiment.DecisionTiming;
 import org.carobdoor.bench.experiment.Experiments;
 import org.carobdoor.bench.faults.FaultRun;
+import org.carobdoor.bench.faults.GatewaySoak;
 import org.carobdoor.bench.latency.NodeLatency;
 import org.carobdoor.bench.membership.MembershipScale;
 import org.carobdoor.bench.quickstart.Quickstart;
@@ -24,6 +25,7 @@
             case "quickstart" -> Quickstart.main(rest);
             case "latency" -> NodeLatency.main(rest);
             case "faults" -> FaultRun.main(rest);
+            case "gateway-soak" -> GatewaySoak.main(rest);
             case "claims" -> ClaimBench.main(rest);
             case "membership" -> MembershipScale.main(rest);
             case "work" -> WorkBench.main(rest);
@@ -35,6 +37,8 @@
                 System.err.println("  latency      latency, CPU time and memory added by a node");
                 System.err.println(
                         "  faults       randomised fault injection into separate processes");
+                System.err.println(
+                        "  gateway-soak randomised faults of gateways and engines that crash");
                 System.err.println("  claims       latency and store writes added by claims");
                 System.err.println(
                         "  membership   traffic and failure detection time, up to 380 nodes");
--- a/bench/src/main/java/org/carobdoor/bench/cluster/ChildProcess.java
+++ b/bench/src/main/java/org/carobdoor/bench/cluster/ChildProcess.java
@@ -89,6 +89,11 @@
         signal("CONT");
     }
 
+    /** Requests a reload of the settings (SIGHUP). */
+    public void reload() throws IOException {
+        signal("HUP");
+    }
+
     /** Returns the contents of the log file. */
     public String output() throws IOException {
         return Files.readString(log);
--- /dev/null
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
@@ -0,0 +1,145 @@
+package org.carobdoor.bench.faults;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Runs gateways as separate processes in front of engines that crash on one part of a prompt, while
+ * nodes are killed, stopped and suspended, the store goes away and engines crash for other reasons.
+ * Exits with status 1 if a guarantee was violated.
+ *
+ * <pre>
+ * bin/bench gateway-soak --seed 7 --seconds 20
+ * </pre>
+ */
+public final class GatewaySoak {
+    private static final int EXIT_VIOLATION = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final int CLIENTS_PER_NODE = 4;
+    private static final int CRASHES_BEFORE_BOUND = 5;
+    private static final int MAX_SENDS_AFTER_BOUND = 3;
+
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(60);
+
+    @Parameter(names = "--seed", description = "Seed of the faults; from the clock if not given")
+    private long seed = System.nanoTime();
+
+    @Parameter(names = "--seconds", description = "Duration of fault injection")
+    private int seconds = 20;
+
+    @Parameter(names = "--nodes", description = "Number of gateway processes")
+    private int nodes = 5;
+
+    @Parameter(names = "--engines", description = "Number of engines")
+    private int engines = 12;
+
+    @Parameter(names = "--deadly", description = "Share of requests with the deadly part")
+    private double deadly = 0.04;
+
+    @Parameter(names = "--root", description = "Project root directory")
+    private String root = ".";
+
+    @Parameter(names = "--help", help = true, description = "Print this help")
+    private boolean help;
+
+    private final Violations violations = new Violations();
+    private final GatewaySoakCounts counts = new GatewaySoakCounts();
+
+    /** Whether the node of each deadly request was undisturbed when the request was sent. */
+    private final Map<String, Boolean> sentInTouch = new ConcurrentHashMap<>();
+
+    private GatewaySoak() {}
+
+    /** Runs the tool. */
+    public static void main(String[] args) throws Exception {
+        GatewaySoak soak = new GatewaySoak();
+        JCommander commander =
+                JCommander.newBuilder().programName("bench gateway-soak").addObject(soak).build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println("bench gateway-soak: " + e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+        if (soak.help) {
+            commander.usage();
+            return;
+        }
+        System.exit(soak.run() ? 0 : EXIT_VIOLATION);
+    }
+
+    private boolean run() throws Exception {
+        Path rootDir = Path.of(root).toAbsolutePath().normalize();
+        Path runDir = Files.createTempDirectory("carobdoor-gateway-soak");
+        System.out.println("seed " + seed + ", " + seconds + " s, logs in " + runDir);
+        try (GatewayCluster cluster = GatewayCluster.start(rootDir, runDir, nodes, engines)) {
+            if (!cluster.awaitReady(READY_TIMEOUT)) {
+                violations.add("the nodes were not ready within " + READY_TIMEOUT);
+            }
+            SplittableRandom random = new SplittableRandom(seed);
+            List<GatewayClient> clients = new ArrayList<>();
+            List<Thread> threads = new ArrayList<>();
+            for (String node : cluster.nodeNames()) {
+                for (int i = 0; i < CLIENTS_PER_NODE; i++) {
+                    GatewayClient c =
+                            new GatewayClient(
+                                    cluster,
+                                    node,
+                                    violations,
+                                    random.split(),
+                                    deadly,
+                                    sentInTouch,
+                                    counts);
+                    clients.add(c);
+                    threads.add(Thread.ofVirtual().start(c));
+                }
+            }
+            new GatewayFaults(cluster, random, violations).inject(seconds);
+            if (!cluster.awaitReady(READY_TIMEOUT)) {
+                violations.add("a node was not ready " + READY_TIMEOUT + " after the last fault");
+            }
+            Thread.sleep(2 * GatewayCluster.CONTACT_NANOS / 1_000_000);
+            clients.forEach(GatewayClient::stop);
+            for (Thread t : threads) {
+                t.join();
+            }
+            check(cluster);
+        }
+        List<String> all = violations.all();
+        System.out.println("seed " + seed + ": " + counts + "; " + all.size() + " violations");
+        return all.isEmpty();
+    }
+
+    private void check(GatewayCluster cluster) {
+        List<Long> crashes = cluster.crashes();
+        System.out.println(crashes.size() + " engines crashed on a request");
+        if (crashes.size() >= CRASHES_BEFORE_BOUND) {
+            long bound = crashes.get(CRASHES_BEFORE_BOUND - 1) + GatewayCluster.CONTACT_NANOS;
+            List<String> late =
+                    cluster.deadlyArrivalsAfter(bound).stream()
+                            .filter(id -> sentInTouch.getOrDefault(id, true))
+                            .toList();
+            if (late.size() > MAX_SENDS_AFTER_BOUND) {
+                violations.add("BUDGET: " + late.size() + " deadly requests were sent: " + late);
+            }
+        }
+        if (crashes.size() >= CRASHES_BEFORE_BOUND && cluster.quarantineKeys().isEmpty()) {
+            violations.add("no entry in the store after " + crashes.size() + " crashes");
+        }
+        if (counts.soundQuarantined.get() > 0) {
+            violations.add("LOST: " + counts.soundQuarantined + " sound requests were refused");
+        }
+        if (counts.served.get() == 0) {
+            violations.add("no request was served");
+        }
+    }
+}
