--- a/node/src/test/java/org/carobdoor/node/gateway/CrashingRequestTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/CrashingRequestTest.java
@@ -147,6 +147,42 @@
         assertThat(crashes.get()).isGreaterThan(crashesBefore);
     }
 
+    @Test
+    void requestsToAResourceThatCrashesAPlainServiceAreRefused() throws Exception {
+        List<RawEndpointStandIn> desks = new ArrayList<>();
+        for (int i = 0; i < ENGINES; i++) {
+            RawEndpointStandIn[] desk = new RawEndpointStandIn[1];
+            desk[0] =
+                    RawEndpointStandIn.start(
+                            (request, connection) -> {
+                                if (request.head().contains("/once/deadly")) {
+                                    crashes.incrementAndGet();
+                                    desk[0].crash(AWAY_MILLIS);
+                                    return;
+                                }
+                                connection.write(
+                                        "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nX-Attempt-Id: "
+                                                + request.header("X-Attempt-Id")
+                                                + "\r\nContent-Length: 2\r\n\r\nok");
+                            });
+            desk[0].register(store, "d-" + i, "desk");
+            desks.add(desk[0]);
+        }
+        TestGateway.await(() -> node.get("/safe/a").statusCode() == 200);
+        for (int i = 0; i < 6; i++) {
+            node.post("/once/deadly", "body " + i);
+            Thread.sleep(200);
+        }
+        int crashesBefore = crashes.get();
+        assertWithMessage("crashes").that(crashesBefore).isIn(List.of(3, 4, 5));
+        HttpResponse<String> r = node.post("/once/deadly", "another body");
+        assertThat(r.statusCode()).isEqualTo(503);
+        assertThat(r.body()).contains("quarantined");
+        assertThat(node.post("/once/sound", "body").statusCode()).isEqualTo(200);
+        assertThat(crashes.get()).isEqualTo(crashesBefore);
+        desks.forEach(RawEndpointStandIn::close);
+    }
+
     @Test
     void lostAnswersOfEndpointsThatAreUpDoNotQuarantine() throws IOException {
         engines.forEach(RawEndpointStandIn::close);
