Bound the memory of crash evidence and ask for trials only when due

A cleared crash keeps only its id, and a feature at most 8 crashes: 4,096 features are about 4 MB at worst, 26 MB before (calculated). A refusal before a trial was due made the entry ask for one later without a request that waited for it. Prompts without parts have the features of plain requests. CrashQuarantine*, CrashingRequestTest, EndpointFaultsTest and GatewayTest pass.

--- a/core/src/main/java/org/carobdoor/internal/quarantine/CrashEvidence.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/CrashEvidence.java
@@ -26,20 +26,25 @@
     private static final long SAME_CRASH_MILLIS = 1_000;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    private static final int MAX_CRASHES = 16;
+    private static final int MAX_CRASHES = 8;
     private static final int MAX_REQUESTS_PER_CRASH = 8;
 
     private static final class Crash {
         final CrashId id;
         final long receivedNanos;
         final Set<RequestFeature> requests = new HashSet<>();
-        boolean cleared;
+        private boolean cleared;
 
         Crash(CrashId id, long receivedNanos) {
             this.id = id;
             this.receivedNanos = receivedNanos;
         }
 
+        void clear() {
+            cleared = true;
+            requests.clear();
+        }
+
         boolean isSameByClusterTime(CrashId other) {
             return id.endpoint().equals(other.endpoint())
                     && Math.abs(id.atMillis() - other.atMillis()) < SAME_CRASH_MILLIS;
@@ -75,7 +80,7 @@
             crash = new Crash(id, nowNanos);
             crashes.add(crash);
         }
-        if (crash.requests.size() < MAX_REQUESTS_PER_CRASH) {
+        if (!crash.cleared && crash.requests.size() < MAX_REQUESTS_PER_CRASH) {
             crash.requests.add(request);
         }
     }
@@ -106,7 +111,7 @@
         List<CrashId> cleared = new ArrayList<>();
         for (Crash c : crashes) {
             if (!c.cleared && c.receivedNanos - nanos < 0) {
-                c.cleared = true;
+                c.clear();
                 cleared.add(c.id);
             }
         }
@@ -121,13 +126,13 @@
         boolean known = false;
         for (Crash c : crashes) {
             if (c.isSameByClusterTime(id)) {
-                c.cleared = true;
+                c.clear();
                 known = true;
             }
         }
         if (!known && crashes.size() < MAX_CRASHES) {
             Crash crash = new Crash(id, nowNanos);
-            crash.cleared = true;
+            crash.clear();
             crashes.add(crash);
         }
     }
--- a/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
@@ -85,6 +85,10 @@
             this.entry = entry;
             this.heldSinceNanos = heldSinceNanos;
         }
+
+        boolean isTrialDue(long nowMillis) {
+            return entry.trials() < MAX_TRIALS && nowMillis >= entry.nextTrialMillis();
+        }
     }
 
     private final Map<RequestPattern, Held> entries = new HashMap<>();
@@ -226,7 +230,7 @@
             first.trialGranted = false;
             return new QuarantineDecision.Trial(first.entry);
         }
-        matches.forEach(h -> h.trialWanted = true);
+        matches.forEach(h -> h.trialWanted |= h.isTrialDue(nowMillis));
         return new QuarantineDecision.Refused(first.entry, retryAfterMillis(first, nowMillis));
     }
 
@@ -296,8 +300,7 @@
         if (h.deletionWanted || idle) {
             return new QuarantineStoreStep.Delete(e.pattern(), h.revision);
         }
-        boolean trialDue = e.trials() < MAX_TRIALS && nowMillis >= e.nextTrialMillis();
-        if (h.trialWanted && trialDue) {
+        if (h.trialWanted && h.isTrialDue(nowMillis)) {
             long delay = FIRST_TRIAL_MILLIS;
             for (int i = 0; i <= e.trials(); i++) {
                 delay *= TRIAL_DELAY_FACTOR;
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
@@ -32,7 +32,7 @@
         Route route,
         Service service,
         Optional<Account> account,
-        Optional<RequestFeatures> features,
+        RequestFeatures features,
         boolean trial,
         double units,
         long deadlineNanos) {
@@ -44,7 +44,7 @@
 
     /** Returns the quarantine entry that forbids sending the request now, if there is one. */
     Optional<QuarantineEntry> quarantineEntry() {
-        return trial ? Optional.empty() : features.flatMap(state.quarantine()::find);
+        return trial ? Optional.empty() : state.quarantine().find(features);
     }
 
     /** Returns whether a response is relayed event by event. */
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -315,7 +315,7 @@
         boolean answering = begun && now() - begunNanos >= JUST_BEGUN_NANOS;
         boolean crashPossible = written && !answering && load.entry().accepting();
         if (!closed && crashPossible) {
-            call.features().ifPresent(f -> endpoint.checkForCrash(f, this::recordCrash));
+            endpoint.checkForCrash(call.features(), this::recordCrash);
         }
         handleFailure(detail, crashPossible);
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -343,8 +343,7 @@
         if (a != null && route.kind() != RouteKind.STREAMING) {
             countUsage(a.sentNanos());
         }
-        boolean suspect =
-                crashPossible && call.features().filter(state.quarantine()::isSuspect).isPresent();
+        boolean suspect = crashPossible && state.quarantine().isSuspect(call.features());
         if (suspect) {
             // A further attempt of a request that has ended an endpoint would end another one.
             mayHaveRun = true;
@@ -447,7 +446,7 @@
     private void recordAnswer() {
         EndpointAttempt a = attempt;
         if (a != null) {
-            call.features().ifPresent(f -> state.quarantine().recordAnswer(f, a.sentNanos()));
+            state.quarantine().recordAnswer(call.features(), a.sentNanos());
         }
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
@@ -188,11 +188,11 @@
             Route route,
             Service service,
             Optional<Account> account) {
-        Optional<RequestFeatures> features = features(exchange, request, account);
+        RequestFeatures features = features(exchange, request, account);
         QuarantineDecision quarantined =
-                features.filter(f -> !state.quarantine().isEmpty())
-                        .map(f -> state.quarantine().decide(request.id(), f))
-                        .orElse(new QuarantineDecision.Allowed());
+                state.quarantine().isEmpty()
+                        ? new QuarantineDecision.Allowed()
+                        : state.quarantine().decide(request.id(), features);
         if (quarantined instanceof QuarantineDecision.Refused(var entry, long retryAfter)) {
             refuse(
                     exchange,
@@ -238,21 +238,24 @@
         }
     }
 
-    private static Optional<RequestFeatures> features(
+    private static RequestFeatures features(
+            Exchange exchange, CallerRequest request, Optional<Account> account) {
+        return request.prompt()
+                .flatMap(FeatureExtractor::ofPrompt)
+                .orElseGet(() -> plainFeatures(exchange, request, account));
+    }
+
+    private static RequestFeatures plainFeatures(
             Exchange exchange, CallerRequest request, Optional<Account> account) {
-        if (request.prompt().isPresent()) {
-            return FeatureExtractor.ofPrompt(request.prompt().get());
-        }
         CRC32C crc = new CRC32C();
         crc.update(exchange.body().nioBuffer());
         long bodyHash = (long) exchange.body().readableBytes() << Integer.SIZE | crc.getValue();
-        return Optional.of(
-                FeatureExtractor.ofPlainRequest(
-                        account.map(a -> a.id().value()).orElse(""),
-                        exchange.head().method().name(),
-                        request.path(),
-                        exchange.head().uri(),
-                        bodyHash));
+        return FeatureExtractor.ofPlainRequest(
+                account.map(a -> a.id().value()).orElse(""),
+                exchange.head().method().name(),
+                request.path(),
+                exchange.head().uri(),
+                bodyHash);
     }
 
     private void logQuotaExceeded(
