--- a/core/src/main/java/org/carobdoor/internal/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/CrashQuarantine.java
@@ -22,7 +22,10 @@
  * quarantined patterns for nodes that start later.
  *
  * <pre>{@code
- * quarantine.recordCrash(crash, requests, now).ifPresent(network::sendToAll);
+ * quarantine.report(crash, requests, now).ifPresent(r -> {
+ *     network.sendToAll(r);
+ *     quarantine.applyOwn(r, now, millis);
+ * });
  * switch (quarantine.decide(features, now, millis)) {
  *     case QuarantineDecision.Refused r -> ...
  *     case QuarantineDecision.Trial t -> ...
@@ -50,7 +53,7 @@
     /**
      * Returns the report of a crash that interrupted requests of this node before their answers
      * began; empty if none of them is a suspect. The report must be sent to all nodes and {@link
-     * #apply(CrashReport, long, long) applied} here.
+     * #applyOwn applied} here.
      */
     public Optional<CrashReport> report(
             CrashId crash, List<RequestFeatures> requests, long nowNanos) {
--- a/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
@@ -45,7 +45,7 @@
     /** Factor between the delays before successive trials. */
     static final int TRIAL_DELAY_FACTOR = 10;
 
-    /** An entry that no request has asked for in this time is deleted. */
+    /** An entry that no request has matched for this long is deleted. */
     static final long IDLE_MILLIS = 24 * 3_600_000L;
 
     /** Interval at which the time of the last request is written, which costs a store call. */
