--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -58,15 +58,13 @@
         }
         connections.probe(
                 result -> {
-                    switch (result) {
-                        case CONNECTED -> crashDetector.recordConnected();
-                        case UNANSWERED -> {}
-                        case REFUSED -> {
-                            List<RequestFeatures> suspects =
-                                    crashDetector.recordRefused(System.nanoTime());
-                            if (!suspects.isEmpty()) {
-                                onCrash.accept(suspects);
-                            }
+                    if (result == EndpointConnectionPool.ProbeResult.CONNECTED) {
+                        crashDetector.recordConnected();
+                    } else if (result == EndpointConnectionPool.ProbeResult.REFUSED) {
+                        List<RequestFeatures> suspects =
+                                crashDetector.recordRefused(System.nanoTime());
+                        if (!suspects.isEmpty()) {
+                            onCrash.accept(suspects);
                         }
                     }
                 });
