Clear a suspected feature when an answer has begun, not when it ends

Cause: only whole answers cleared a feature, and a draft takes 3 to 5 s. The nodes had restarted at 5.5 s and remembered no answer, and three endpoints crashed by 7.25 s, so that no draft had ended in between.

Change: an endpoint that goes on answering for 0.1 s has not crashed on the request, which clears its features of the crashes before the answer began. Begins replace the times of sending, so that requests under way count too.

Evidence: the simulation now has answers that go on. CrashingRequestTest, EndpointFaultsTest, GatewayTest and EndlessAnswerTest pass.

--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewayFaults.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewayFaults.java
@@ -91,6 +91,7 @@
                         cluster.crashEngine(own.nextInt(cluster.engineCount()));
                     }
                 }
+                default -> throw new AssertionError(kind);
             }
         } catch (IOException e) {
             violations.add("fault " + kind + " could not be injected: " + e);
--- a/core/src/main/java/org/carobdoor/internal/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/CrashQuarantine.java
@@ -16,8 +16,8 @@
 /**
  * Refuses requests that crash endpoints, such as those with one part of a prompt, on all nodes.
  *
- * <p>Each node reports the crashes that its own requests may have caused, and the complete answers
- * that clear a suspect, to all others. All nodes weigh the same reports, so that each quarantines a
+ * <p>Each node reports the crashes that its own requests may have caused, and the answers that
+ * clear a suspect, to all others. All nodes weigh the same reports, so that each quarantines a
  * pattern at the same crash. A partitioned zone decides on its own reports. The store keeps the
  * quarantined patterns for nodes that start later.
  *
@@ -105,16 +105,17 @@
     }
 
     /**
-     * Records a complete answer to a request that was sent at {@code sentNanos}; returns the
-     * clearances that must be sent to all nodes.
+     * Records that an endpoint did not crash on a request whose answer began at {@code
+     * answerNanos}; returns the clearances that must be sent to all nodes.
      */
     public List<FeatureClearance> recordAnswer(
-            RequestFeatures features, long sentNanos, long nowNanos) {
-        List<FeatureClearance> clearances = suspicions.recordAnswer(features, sentNanos, nowNanos);
+            RequestFeatures features, long answerNanos, long nowNanos) {
+        List<FeatureClearance> clearances =
+                suspicions.recordAnswer(features, answerNanos, nowNanos);
         if (!clearances.isEmpty()) {
             removeCleared(nowNanos);
         }
-        table.recordAnswer(features, sentNanos);
+        table.recordAnswer(features, answerNanos);
         return clearances;
     }
 
--- a/core/src/main/java/org/carobdoor/internal/quarantine/CrashSuspicions.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/CrashSuspicions.java
@@ -17,12 +17,12 @@
 
 /**
  * Weighs for each feature the crashes of endpoints that were about to answer a request with it
- * against the complete answers to requests with it.
+ * against the answers to requests with it.
  *
  * <p>A crash interrupts the requests of many callers, of which one is the cause, and that request
- * has several features. Each is a suspect until a request with it that was sent after the crash is
- * answered. A feature is incriminated by {@link #CRASH_THRESHOLD} crashes without an answer in
- * between, of more than one request.
+ * has several features. Each is a suspect until an endpoint has begun to answer a request with it
+ * after the crash and has not crashed. A feature is incriminated by {@link #CRASH_THRESHOLD}
+ * crashes without an answer in between, of more than one request.
  *
  * <p>Not thread-safe.
  */
@@ -34,15 +34,15 @@
     static final int CRASH_THRESHOLD = 3;
 
     /**
-     * A feature whose last complete answer is younger than this is not suspected, so that features
-     * of most requests are not reported with each crash.
+     * A feature whose last answer is younger than this is not suspected, so that features of most
+     * requests are not reported with each crash.
      */
     static final long PROVEN_NANOS = 2_000_000_000L;
 
     /** Features for which evidence is kept; the one used least recently is dropped. */
     static final int MAX_FEATURES = 4_096;
 
-    /** Features whose last complete answer is remembered. */
+    /** Features whose last answer is remembered. */
     static final int MAX_PROVEN_FEATURES = 4_096;
 
     /** Limits the size of a report, whatever features a caller declares. */
@@ -146,15 +146,15 @@
     }
 
     /**
-     * Records a complete answer to a request that was sent at {@code sentNanos}; returns the
-     * clearances for all nodes.
+     * Records that an endpoint did not crash on a request whose answer began at {@code
+     * answerNanos}; returns the clearances for all nodes.
      */
-    List<FeatureClearance> recordAnswer(RequestFeatures features, long sentNanos, long nowNanos) {
+    List<FeatureClearance> recordAnswer(RequestFeatures features, long answerNanos, long nowNanos) {
         List<FeatureClearance> clearances = new ArrayList<>();
         for (RequestFeature f : features.all()) {
             provenAtNanos.put(f, nowNanos);
             CrashEvidence e = evidence.isEmpty() ? null : evidence.get(f);
-            List<CrashId> cleared = e == null ? List.of() : e.clearBefore(sentNanos);
+            List<CrashId> cleared = e == null ? List.of() : e.clearBefore(answerNanos);
             if (!cleared.isEmpty()) {
                 clearances.add(new FeatureClearance(f, cleared));
             }
--- a/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
@@ -266,11 +266,11 @@
      * Requests the deletion of an entry if a request that matches it was answered although it had
      * been quarantined.
      *
-     * @param sentNanos when the answered request was sent
+     * @param answerNanos when the answer began
      */
-    void recordAnswer(RequestFeatures features, long sentNanos) {
+    void recordAnswer(RequestFeatures features, long answerNanos) {
         for (Held h : matches(features)) {
-            h.deletionWanted |= sentNanos - h.heldSinceNanos > 0;
+            h.deletionWanted |= answerNanos - h.heldSinceNanos > 0;
         }
     }
 
--- a/core/src/test/java/org/carobdoor/internal/quarantine/CrashQuarantineSimulationTest.java
+++ b/core/src/test/java/org/carobdoor/internal/quarantine/CrashQuarantineSimulationTest.java
@@ -127,6 +127,29 @@
         assertBounds(c);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void partOfAllRequestsIsServedAfterARestartOfAllNodes(long seed) {
+        SimulatedCluster c = new SimulatedCluster(seed, 6, 21, 3);
+        c.answerNanos = 300 * MILLI;
+        RequestFeature site = part(1);
+        c.repeat(
+                SECOND / 17.0,
+                DAY_END,
+                () -> c.arrive(c.request(site, part(100 + c.random.nextInt(160))), 1));
+        c.repeat(SECOND / 1.5, DAY_END, () -> c.arrive(c.request(site, part(2), DEADLY), 1));
+        c.schedule(
+                2 * SECOND,
+                () -> {
+                    for (int i = 0; i < 6; i++) {
+                        c.restart(i);
+                    }
+                });
+        c.runUntil(DAY_END);
+        assertBounds(c);
+        assertThat(c.soundRefused).isEqualTo(0);
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void deadlyPartIsRefusedWhileTheStoreIsAway(long seed) {
--- a/core/src/test/java/org/carobdoor/internal/quarantine/SimulatedCluster.java
+++ b/core/src/test/java/org/carobdoor/internal/quarantine/SimulatedCluster.java
@@ -44,7 +44,6 @@
     private final class Waiting {
         final int node;
         final RequestFeatures features;
-        final long sentNanos = now;
         boolean abandoned;
 
         Waiting(int node, RequestFeatures features) {
@@ -58,6 +57,7 @@
         final String id;
         final Map<Waiting, Boolean> waiting = new HashMap<>();
         boolean up = true;
+        int crashes;
 
         Endpoint(String id) {
             this.id = id;
@@ -80,6 +80,10 @@
     long maxDelayNanos = 4 * MILLI;
     long answerNanos = 100 * MILLI;
     long awayNanos = 3_300 * MILLI;
+
+    /** Time after its begin at which an answer counts as one that the endpoint did not crash on. */
+    long survivalNanos = 100 * MILLI;
+
     boolean storeReachable = true;
     int messages;
     int soundRequests;
@@ -233,15 +237,23 @@
             return;
         }
         retries.remove(w);
-        nodes.get(w.node)
-                .recordAnswer(w.features, w.sentNanos, now)
-                .forEach(c -> broadcast(w.node, c));
+        CrashQuarantine q = nodes.get(w.node);
+        long begun = now;
+        int crashes = e.crashes;
+        schedule(
+                survivalNanos,
+                () -> {
+                    if (e.crashes == crashes && nodes.get(w.node) == q) {
+                        q.recordAnswer(w.features, begun, now).forEach(c -> broadcast(w.node, c));
+                    }
+                });
     }
 
     /** Crashes endpoints at the same moment; their nodes see it within a millisecond. */
     void crash(List<Endpoint> crashed) {
         for (Endpoint e : crashed) {
             e.up = false;
+            e.crashes++;
             schedule(awayNanos, () -> e.up = true);
             Map<Integer, List<Waiting>> byNode = new HashMap<>();
             for (Waiting w : e.waiting.keySet()) {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -85,6 +85,8 @@
     private boolean written;
     private boolean closed;
     private boolean begun;
+    private boolean survived;
+    private long headNanos;
     private long begunNanos;
     private long sentNanos;
 
@@ -233,6 +235,7 @@
     @Override
     public void onHead(HttpResponse h, EndpointAnswer a) {
         head = h;
+        headNanos = now();
         decodedHead = a;
         if (a.encoded() || (a.isSuccess() && !a.signed())) {
             onFailure("response is encoded or lacks the endpoint's signature");
@@ -261,13 +264,15 @@
     }
 
     /**
-     * Records that the first token has arrived, which means that the engine has processed the
+     * Records that tokens have arrived. The first one means that the engine has processed the
      * prompt.
      */
-    void onFirstToken() {
+    void onTokens() {
         if (!begun) {
             begun = true;
             begunNanos = now();
+        } else if (now() - begunNanos >= JUST_BEGUN_NANOS) {
+            recordSurvived();
         }
         if (remainingPrefillTokens > 0) {
             load.recordPrefillDone(remainingPrefillTokens);
@@ -291,6 +296,9 @@
         ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
         body = null;
         close();
+        if (!a.notExecuted()) {
+            recordSurvived();
+        }
         if (a.notExecuted()) {
             content.release();
             recordOutcome(SendOutcome.REJECTED, "status " + a.status());
@@ -320,6 +328,19 @@
         handleFailure(detail, crashPossible);
     }
 
+    /**
+     * Records once that the endpoint has answered the request without crashing on it. A long stream
+     * must not end first: after a restart of all nodes no other answer shows that the parts which
+     * most prompts share are sound.
+     */
+    private void recordSurvived() {
+        if (!survived) {
+            survived = true;
+            long answerNanos = begun ? begunNanos : headNanos;
+            call.state().quarantine().recordAnswer(call.features(), answerNanos);
+        }
+    }
+
     private void recordCrash(List<RequestFeatures> requests) {
         // An endpoint that has been told to leave, or has left the directory, ends on purpose.
         EndpointId id = load.entry().id();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -377,7 +377,7 @@
             return;
         }
         countUsage(System.nanoTime());
-        a.onFirstToken();
+        a.onTokens();
         a.markForwarded();
         startStream(head);
         exchange.writeStream(completeEvents);
@@ -404,7 +404,6 @@
 
     @Override
     public void onStreamEnd(HttpResponse head) {
-        recordAnswer();
         attempt = null;
         startStream(head);
         countUsage(System.nanoTime());
@@ -418,7 +417,6 @@
 
     @Override
     public void onResponse(HttpResponse head, EndpointAnswer decodedHead, ByteBuf body) {
-        recordAnswer();
         EndpointAttempt a = attempt;
         attempt = null;
         if (a != null) {
@@ -442,14 +440,6 @@
         }
     }
 
-    /** Records that the endpoint has answered completely, and so has not crashed on the request. */
-    private void recordAnswer() {
-        EndpointAttempt a = attempt;
-        if (a != null) {
-            state.quarantine().recordAnswer(call.features(), a.sentNanos());
-        }
-    }
-
     private void refundQuota() {
         call.account()
                 .flatMap(a -> state.accountQuotas().quota(a.id()))
--- a/node/src/main/java/org/carobdoor/node/gateway/quarantine/RequestQuarantine.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/quarantine/RequestQuarantine.java
@@ -96,9 +96,13 @@
         return quarantine.isSuspect(features, System.nanoTime());
     }
 
-    /** Records a complete answer to a request that was sent at {@code sentNanos}. */
-    public void recordAnswer(RequestFeatures features, long sentNanos) {
-        for (FeatureClearance c : quarantine.recordAnswer(features, sentNanos, System.nanoTime())) {
+    /**
+     * Records that an endpoint did not crash on a request whose answer began at {@code
+     * answerNanos}.
+     */
+    public void recordAnswer(RequestFeatures features, long answerNanos) {
+        for (FeatureClearance c :
+                quarantine.recordAnswer(features, answerNanos, System.nanoTime())) {
             log.line("quarantine.cleared")
                     .add("feature", c.feature())
                     .add("crashes", c.crashes().size())
