Wait until a closed stand-in refuses connections

Jooby brings the native transport of Netty for x86-64 only; elsewhere the JDK selector is used, which closes a listening socket in its next round, after the channel has reported its end. close() now waits until connections are refused, so both machine types keep what the test asks for. 7 runs of ten closes passed afterwards; the entry in KNOWN-RED.txt goes.

--- a/standins/src/main/java/org/carobdoor/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/carobdoor/standins/http/StandInServer.java
@@ -37,6 +37,7 @@
     private static final int BIND_ATTEMPTS = 5;
     private static final String PROBE_PATH = "/.stand-in";
     private static final long PROBE_TIMEOUT_SECONDS = 10;
+    private static final long CLOSE_TIMEOUT_SECONDS = 5;
 
     private final NettyServer server;
     private final ExecutorService workers;
@@ -195,10 +196,27 @@
     public void close() {
         // Netty can leave the listening socket open if its event loops are stopped first.
         serverChannel.close().awaitUninterruptibly();
+        awaitRefusal();
         workers.shutdownNow();
         server.stop();
     }
 
+    /**
+     * Waits until connections are refused. Without native transport, as on arm64, the selector
+     * closes the listening socket only in its next round, after the channel has reported its end.
+     */
+    private void awaitRefusal() {
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(CLOSE_TIMEOUT_SECONDS);
+        while (System.nanoTime() - deadline < 0) {
+            try (var socket = new Socket(address().getAddress(), address().getPort())) {
+                Thread.onSpinWait();
+            } catch (IOException e) {
+                return;
+            }
+        }
+        throw new IllegalStateException(address() + " still accepts connections after its close");
+    }
+
     // Jooby does not expose the listening channel, but it is the parent of every connection.
     private static Channel findServerChannel(int port, CompletableFuture<Channel> serverChannel) {
         String request = "GET " + PROBE_PATH + " HTTP/1.1\r\nHost: " + HOST + "\r\n\r\n";
