Let more clients read balances in the case of the uploads

Each stop of the node shows in as many requests as there are readers; with 10 readers one run had 10 late of 11.

--- a/review/harness/review/Deployment.java
+++ b/review/harness/review/Deployment.java
@@ -169,7 +169,7 @@
         }
     }
 
-    /** Copies the nodes' logs beside the record, for reading a failure. */
+    /** Returns what a node has logged, for reading a failure. */
     String log(Node n) throws IOException {
         return Files.readString(temporary.resolve(n.name + ".log"));
     }
@@ -182,7 +182,10 @@
         }
     }
 
-    /** Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+    /**
+     * Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if it could not run. With the
+     * variable SHOW_LOGS, the nodes' logs are printed at the end.
+     */
     static void main(String[] args, Case c) {
         int status = 2;
         try (Deployment d = new Deployment(Path.of(args[0]))) {
--- a/review/harness/review/HeadRefused.java
+++ b/review/harness/review/HeadRefused.java
@@ -1,5 +1,7 @@
 package review;
 
+import java.io.IOException;
+
 /**
  * An application keeps one connection for two keys of a tenant. One key is taken away; a HEAD
  * request with it is refused, and the next request on the connection uses the other key.
@@ -42,7 +44,7 @@
     }
 
     private static int exchange(Deployment d, Client c, String method, String key)
-            throws java.io.IOException {
+            throws IOException {
         String id = Client.newId();
         c.send(Client.head(method, Desk.HOST, "/balance/1", id, key) + "\r\n");
         d.recorder.line("client   id=%s %s key=%s sent", id, method, key);
--- a/review/harness/review/SmuggledRequest.java
+++ b/review/harness/review/SmuggledRequest.java
@@ -1,6 +1,8 @@
 package review;
 
 import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A client's body is framed by a Transfer-Encoding that does not end with "chunked". */
 final class SmuggledRequest {
@@ -14,7 +16,7 @@
 
     private static String run(Deployment d) throws Exception {
         d.configure(Desk.configuration(1, "tanta", Desk.KEY));
-        java.util.Set<String> run = java.util.concurrent.ConcurrentHashMap.newKeySet();
+        Set<String> run = ConcurrentHashMap.newKeySet();
         TestServer.Responder plain = TestServer.plain(800, 15);
         d.startServer(
                 "i-1",
--- a/review/harness/review/TestServer.java
+++ b/review/harness/review/TestServer.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -48,7 +49,7 @@
         return (request, out) -> {
             Thread.sleep(workMillis);
             byte[] body = new byte[request.method().equals("HEAD") ? 0 : bodyBytes];
-            java.util.Arrays.fill(body, (byte) 'b');
+            Arrays.fill(body, (byte) 'b');
             out.write(head(request, 200, "Content-Length: " + bodyBytes + "\r\n"));
             out.write(body);
             out.flush();
--- a/review/harness/review/Uploads.java
+++ b/review/harness/review/Uploads.java
@@ -13,7 +13,7 @@
     private static final int UPLOADERS = 34;
     private static final double BURST = 1.6;
     private static final long BURST_MS = 8_000;
-    private static final int READERS = 10;
+    private static final int READERS = 24;
     private static final int DOCUMENT_BYTES = 4_000_000;
     private static final long TIMEOUT_MS = 1_000;
     private static final long SERVER_WORK_MS = 5_000;
