Keep the uploads of case 4 within the burst that its claim states

A client whose upload failed sent the next one after a second, so that after the burst there were up to 28 uploads a second in place of 7. It waits 5 s now, as long as an upload takes.

--- a/review/harness/review/Uploads.java
+++ b/review/harness/review/Uploads.java
@@ -90,6 +90,7 @@
                         + " had none half a second later";
     }
 
+    /** Uploads until the end; a client never sends more often than when all uploads succeed. */
     private static void upload(Deployment d, Deployment.Node node, String document, long end) {
         while (d.recorder.millis() < end) {
             String id = Client.newId();
@@ -103,11 +104,11 @@
                 int status = c.read(false).status();
                 d.recorder.line("client   id=%s upload -> %d", id, status);
                 if (status != 200) {
-                    pause(1_000);
+                    pause(SERVER_WORK_MS);
                 }
             } catch (IOException e) {
                 d.recorder.line("client   id=%s upload -> %s", id, e.getMessage());
-                pause(1_000);
+                pause(SERVER_WORK_MS);
             }
         }
     }
