--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
@@ -21,6 +21,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.carobdoor.internal.deployment.CallerLimits;
+import org.carobdoor.node.gateway.net.MessageFraming;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -108,7 +109,9 @@
         keepAlive = HttpUtil.isKeepAlive(request);
         body = ch.alloc().compositeBuffer(MAX_BODY_PARTS);
         CallerLimits limits = requests.limits();
-        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+        if (!MessageFraming.isUnambiguous(request)) {
+            refuse(ch, HttpResponseStatus.BAD_REQUEST);
+        } else if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
             refuse(ch, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(request)) {
             ch.writeAndFlush(
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/net/MessageFraming.java
@@ -0,0 +1,33 @@
+package org.carobdoor.node.gateway.net;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+
+/**
+ * Decides whether the head of a message determines where its body ends (RFC 9112, section 6).
+ *
+ * <p>The decoder takes any transfer coding other than "chunked" for the absence of a body, and a
+ * list that contains "chunked" for chunks. Either way, bytes of the body may be read as the next
+ * message on the connection.
+ */
+public final class MessageFraming {
+    private MessageFraming() {}
+
+    /**
+     * Returns whether the body has no transfer coding, or "chunked" as its only one. No other
+     * coding is supported.
+     */
+    public static boolean isUnambiguous(HttpMessage head) {
+        List<String> codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        if (codings.isEmpty()) {
+            return true;
+        }
+        return codings.size() == 1
+                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.getFirst())
+                && head.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+}
