Take an endpoint's answer of another transfer coding for a broken one (MIXED)

Callers saw: an answer with Transfer-Encoding gzip, identity, "gzip, chunked" and the like was forwarded as a success, its body still encoded or with the chunk lines in it; beside a length, the rest stayed on the connection for the next request.

Cause: the same as for requests; the decoder of answers has the same defaults.

Why this works: the rule of MessageFraming is applied to each head before its body is read, also to answers that are skipped. The attempt fails as one with a malformed answer does and its connection is closed.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.carobdoor.internal.request.EndpointAnswer;
+import org.carobdoor.node.gateway.net.MessageFraming;
 import org.carobdoor.platform.EndpointHeaders;
 import org.jspecify.annotations.Nullable;
 
@@ -124,6 +125,10 @@
     }
 
     private void readHead(HttpResponse head) {
+        if (!MessageFraming.isUnambiguous(head)) {
+            fail("response with a transfer coding other than \"chunked\"");
+            return;
+        }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingResponse = true;
             return;
