--- a/node/src/test/java/org/carobdoor/node/gateway/front/RequestFramingTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/front/RequestFramingTest.java
@@ -1,6 +1,7 @@
 package org.carobdoor.node.gateway.front;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -13,7 +14,9 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.carobdoor.internal.deployment.CallerLimits;
 import org.carobdoor.node.gateway.log.DecisionLog;
@@ -26,6 +29,9 @@
 
 /** Guards against reading a request from the bytes of another request's body. */
 final class RequestFramingTest {
+    private static final int GENERATED_CONNECTIONS =
+            Integer.getInteger("framing.connections", 1_500);
+    private static final long SEED = Long.getLong("framing.seed", 20_261_205L);
     private static final String HEAD = "POST /a HTTP/1.1\r\nHost: h\r\n";
     private static final String INNER = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -100,6 +106,57 @@
                 .inOrder();
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET /\u00ff HTTP/1.1",
+                "GET /a\u0000b HTTP/1.1",
+                "G\u00cbT /a HTTP/1.1",
+                "GET /a HTTP/1.2",
+                "GET /a HTTP/2.0",
+                "GET /a"
+            })
+    void requestLineThatCannotBeForwardedUnchangedIsRefused(String line) throws IOException {
+        assertThat(send(line + "\r\nHost: h\r\n\r\n")).startsWith("HTTP/1.1 400 ");
+        assertThat(received).isEmpty();
+    }
+
+    /**
+     * Whatever a node reads from a connection, a reader that follows the grammar strictly reads the
+     * same; a node may refuse more, but not of requests that are sound.
+     */
+    @Test
+    void generatedConnectionsAreReadAsByAStrictReader() throws IOException {
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int i = 0; i < GENERATED_CONNECTIONS; i++) {
+            received.clear();
+            RequestGenerator generator = new RequestGenerator(random.split());
+            boolean mutated = i % 4 != 0;
+            String text = generator.connection(mutated);
+            send(text);
+            List<ReferenceRequestReader.Request> expected =
+                    ReferenceRequestReader.read(text.getBytes(StandardCharsets.ISO_8859_1));
+            List<ReferenceRequestReader.Request> read = new ArrayList<>(received);
+            String name = "connection " + i + " of seed " + SEED + ": " + printable(text);
+            if (mutated) {
+                assertWithMessage(name)
+                        .that(read)
+                        .isEqualTo(expected.subList(0, Math.min(read.size(), expected.size())));
+            } else {
+                assertWithMessage(name).that(read).isEqualTo(expected);
+            }
+        }
+    }
+
+    private static String printable(String text) {
+        StringBuilder printable = new StringBuilder();
+        for (char c : text.toCharArray()) {
+            printable.append(
+                    c > ' ' && c < 0x7f || c == ' ' ? c : String.format("\\x%02x", (int) c));
+        }
+        return printable.toString();
+    }
+
     /** Sends {@code text}, and returns what the node answers until it closes the connection. */
     private String send(String text) throws IOException {
         try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
