Derive the waits of the store's watches from the stale limit (CONFIG)

Callers saw: up to 5.5 s after a change was acknowledged (2 s are allowed), requests ran with a removed key and got 401 with a new one, when the open connections to the store had gone silent before the change.

Cause: a watch was given up after 9.2 s (endpoints 5.2 s), constants that no setting bounds; and a call after a time-out took an idle connection, which had gone silent with the first.

Why this works: WatchSchedule counts from the last reply, so a call is given up, and the next one made on a new connection, before the limit has passed since the silence began, whenever that was. Idle connections are closed with the one that timed out.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -1,6 +1,7 @@
 package org.carobdoor.node.gateway.control;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -11,8 +12,10 @@
 import org.carobdoor.internal.duty.ClusterClock;
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
+import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
+import org.carobdoor.internal.store.WatchSchedule;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.UsageWindow;
 import org.carobdoor.node.gateway.forward.ForwardingState;
@@ -28,13 +31,10 @@
  */
 public final class ControlLoop implements PeerRegistry.Listener, AutoCloseable {
     /**
-     * How long the store may delay the answer to a watch of the endpoints. A watch that takes
-     * longer is replaced, so this bounds how long a node uses endpoints that have left.
+     * The stale limit of the nodes' own keys. They change rarely, no bound depends on them alone,
+     * and they are checked when another watch finds its connection silent.
      */
-    private static final long ENDPOINT_WATCH_WAIT_MILLIS = 4_000;
-
-    /** The same for the other keys. Nodes also send a newer configuration to each other. */
-    private static final long WATCH_WAIT_MILLIS = 8_000;
+    private static final Duration NODE_KEYS_STALE_LIMIT = Duration.ofSeconds(10);
 
     /**
      * Minimum delay for batching changes; well within the two seconds in which a node must stop
@@ -49,9 +49,6 @@
 
     private static final long TICK_INTERVAL_MILLIS = 200;
 
-    /** A watch without an answer for this long may have missed changes. */
-    private static final long DIRECTORY_STALE_NANOS = 5_500_000_000L;
-
     private static final int STATUS_USAGE_WINDOWS = 4;
 
     private final EventLoop loop;
@@ -68,6 +65,10 @@
     private final DecisionLog log;
     private final String run;
     private final long startedAtMillis;
+    private final StoreWatch configurationWatch;
+    private final StoreWatch endpointWatch;
+    private final StoreWatch nodeKeysWatch;
+    private final long directoryStaleNanos;
     private boolean nodeListLoaded;
     private boolean endpointWatchFailing;
     private long endpointWatchReplyNanos = System.nanoTime();
@@ -125,21 +126,35 @@
                                                 peers::allPeersReporting,
                                                 log))
                         .orElse(null);
+        Duration staleLimit = settings.bounds().staleLimit();
+        configurationWatch =
+                watch(
+                        StoreKeys.CONFIGURATION,
+                        schedule(staleLimit),
+                        () -> 0,
+                        new ConfigurationListener());
+        WatchSchedule endpointSchedule = schedule(staleLimit);
+        // A watch without a reply for longer may have missed changes.
+        directoryStaleNanos = endpointSchedule.budgetNanos();
+        endpointWatch =
+                watch(
+                        StoreKeys.ENDPOINTS_PREFIX,
+                        endpointSchedule,
+                        this::batchDelayMillis,
+                        new EndpointListener());
+        nodeKeysWatch =
+                watch(
+                        NodeStoreKeys.PREFIX,
+                        schedule(NODE_KEYS_STALE_LIMIT),
+                        this::batchDelayMillis,
+                        new NodeKeysListener());
     }
 
     /** Starts the store watches, the exchange with the other nodes, and the duties. */
     public void start() {
-        watch(StoreKeys.CONFIGURATION, WATCH_WAIT_MILLIS, () -> 0, new ConfigurationListener());
-        watch(
-                StoreKeys.ENDPOINTS_PREFIX,
-                ENDPOINT_WATCH_WAIT_MILLIS,
-                this::batchDelayMillis,
-                new EndpointListener());
-        watch(
-                NodeStoreKeys.PREFIX,
-                WATCH_WAIT_MILLIS,
-                this::batchDelayMillis,
-                new NodeKeysListener());
+        configurationWatch.start();
+        endpointWatch.start();
+        nodeKeysWatch.start();
         peers.start();
         quarantineSync.start();
         if (dutyRunner != null) {
@@ -182,12 +197,23 @@
                 .append('\n');
     }
 
-    private void watch(
+    private StoreWatch watch(
             String prefix,
-            long waitMillis,
+            WatchSchedule schedule,
             LongSupplier batchDelayMillis,
             StoreWatch.Listener listener) {
-        new StoreWatch(loop, store, prefix, waitMillis, batchDelayMillis, listener, log).start();
+        return new StoreWatch(loop, store, prefix, schedule, batchDelayMillis, listener, log);
+    }
+
+    /** Checks the watch with the longest waits if another one had no reply. */
+    private void checkNodeKeysWatch(StoreAnswer answer) {
+        if (answer instanceof StoreAnswer.Unknown) {
+            nodeKeysWatch.checkConnection();
+        }
+    }
+
+    private static WatchSchedule schedule(Duration staleLimit) {
+        return WatchSchedule.create(staleLimit, System.nanoTime());
     }
 
     private long batchDelayMillis() {
@@ -198,7 +224,7 @@
 
     private boolean isDirectoryStale() {
         return endpointWatchFailing
-                || System.nanoTime() - endpointWatchReplyNanos > DIRECTORY_STALE_NANOS;
+                || System.nanoTime() - endpointWatchReplyNanos > directoryStaleNanos;
     }
 
     private void tick() {
@@ -288,6 +314,11 @@
             }
         }
 
+        @Override
+        public void callFailed(StoreAnswer answer) {
+            checkNodeKeysWatch(answer);
+        }
+
         private void apply(StoreItem item) {
             if (item.key().equals(StoreKeys.CONFIGURATION)) {
                 mirror.applyConfiguration(item, "store");
@@ -315,8 +346,9 @@
         }
 
         @Override
-        public void callFailed() {
+        public void callFailed(StoreAnswer answer) {
             endpointWatchFailing = true;
+            checkNodeKeysWatch(answer);
             directory.recordStoreUnavailable(System.nanoTime());
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
@@ -29,7 +29,7 @@
 
 /**
  * HTTP client of the platform's store and cloud API. Never retries a call; closes a connection on
- * which a reply does not arrive in time. Must be used on the event loop.
+ * which a reply does not arrive in time, and all idle ones with it. Must be used on the event loop.
  */
 final class PlatformClient implements AutoCloseable {
     /** The outcome of a call. */
@@ -159,17 +159,17 @@
             for (int i = 0; i + 1 < call.headers().length; i += 2) {
                 r.headers().set(call.headers()[i], call.headers()[i + 1]);
             }
-            timer =
-                    loop.schedule(
-                            () ->
-                                    complete(
-                                            new Outcome.NoReply("timed out waiting for the reply"),
-                                            false),
-                            timeoutMillis,
-                            TimeUnit.MILLISECONDS);
+            timer = loop.schedule(this::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
             ch.writeAndFlush(r);
         }
 
+        private void timedOut() {
+            // Idle connections may have gone silent together with this one.
+            idleConnections.forEach(Connection::closeChannel);
+            idleConnections.clear();
+            complete(new Outcome.NoReply("timed out waiting for the reply"), false);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse r) {
             byte[] body = ByteBufUtil.getBytes(r.content());
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
@@ -3,10 +3,12 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.carobdoor.Bytes;
 import org.carobdoor.internal.store.StoreAnswer;
+import org.carobdoor.internal.store.WatchSchedule;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.platform.HttpCall;
 import org.carobdoor.platform.HttpReply;
@@ -18,9 +20,6 @@
     /** The store replies within milliseconds, but on some days takes 50 times as long or more. */
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
 
-    /** How long the reply of a watch may exceed its wait before the connection is given up. */
-    private static final long WATCH_MARGIN_MILLIS = 1_200;
-
     private final PlatformClient client;
 
     StoreClient(EventLoop loop, InetSocketAddress address, DecisionLog log) {
@@ -39,10 +38,15 @@
                 callback);
     }
 
-    void watch(String prefix, long revision, long waitMillis, Consumer<StoreAnswer> callback) {
+    /** Waits for changes after {@code revision}, until {@code schedule} gives the call up. */
+    void watch(
+            String prefix,
+            long revision,
+            WatchSchedule.Call schedule,
+            Consumer<StoreAnswer> callback) {
         call(
-                StoreCalls.watch(prefix, revision, waitMillis),
-                waitMillis + WATCH_MARGIN_MILLIS,
+                StoreCalls.watch(prefix, revision, schedule.waitMillis()),
+                TimeUnit.NANOSECONDS.toMillis(schedule.giveUpNanos() - System.nanoTime()),
                 StoreReplies::watch,
                 callback);
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -8,6 +8,7 @@
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
+import org.carobdoor.internal.store.WatchSchedule;
 import org.carobdoor.node.gateway.log.DecisionLog;
 
 /**
@@ -28,7 +29,7 @@
         default void callSucceeded() {}
 
         /** Called after a call of this watch had no answer or was rejected. */
-        default void callFailed() {}
+        default void callFailed(StoreAnswer answer) {}
     }
 
     private static final long MIN_RETRY_DELAY_MILLIS = 100;
@@ -37,18 +38,20 @@
     private final EventLoop loop;
     private final StoreClient store;
     private final String prefix;
-    private final long waitMillis;
+    private final WatchSchedule schedule;
     private final LongSupplier batchDelayMillis;
     private final Listener listener;
     private final DecisionLog log;
     private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     private boolean storeUnavailable;
+    private boolean replyPending;
+    private long callNumber;
     private long revision;
 
     /**
      * Creates a watch.
      *
-     * @param waitMillis how long the store may delay the answer to a watch call
+     * @param schedule how long the watch calls wait
      * @param batchDelayMillis the delay after changes before the next watch call; it batches
      *     changes because calls are charged
      */
@@ -56,14 +59,14 @@
             EventLoop loop,
             StoreClient store,
             String prefix,
-            long waitMillis,
+            WatchSchedule schedule,
             LongSupplier batchDelayMillis,
             Listener listener,
             DecisionLog log) {
         this.loop = loop;
         this.store = store;
         this.prefix = prefix;
-        this.waitMillis = waitMillis;
+        this.schedule = schedule;
         this.batchDelayMillis = batchDelayMillis;
         this.listener = listener;
         this.log = log;
@@ -103,12 +106,29 @@
                 });
     }
 
+    /**
+     * Calls again without waiting for a pending reply, whose connection may have gone silent. Has
+     * no effect while no reply is pending.
+     */
+    void checkConnection() {
+        if (replyPending) {
+            awaitChanges();
+        }
+    }
+
     private void awaitChanges() {
+        long number = ++callNumber;
+        replyPending = true;
         store.watch(
                 prefix,
                 revision,
-                waitMillis,
+                schedule.next(System.nanoTime()),
                 answer -> {
+                    if (number != callNumber) {
+                        // Replaced by a later call, which gets the same changes.
+                        return;
+                    }
+                    replyPending = false;
                     switch (answer) {
                         case StoreAnswer.Changes(List<StoreChange> changes, long newRevision) -> {
                             handleSuccess();
@@ -139,6 +159,7 @@
 
     private void handleSuccess() {
         retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
+        schedule.restart(System.nanoTime());
         if (storeUnavailable) {
             storeUnavailable = false;
             log.line("store.regained").add("prefix", prefix).write();
@@ -155,7 +176,8 @@
                     .add("answer", '"' + answer.toString() + '"')
                     .write();
         }
-        listener.callFailed();
+        schedule.restart(System.nanoTime());
+        listener.callFailed(answer);
         loop.schedule(retryTask, retryDelayMillis, TimeUnit.MILLISECONDS);
         retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
@@ -11,6 +11,8 @@
  * @param usageWindow the length of the windows of the usage reports
  * @param quotaWindow the length of the windows over which quotas are counted
  * @param quotaTolerance the fraction of a quota by which all nodes together may exceed it
+ * @param staleLimit the time after which a node whose connections have gone silent must be up to
+ *     date with the store again
  * @param reportsUsage whether the duty holder reports usage
  * @param scalesEndpoints whether the duty holder scales the endpoints
  * @param retries the retries that all nodes together may send to a service
@@ -21,6 +23,7 @@
         Duration usageWindow,
         Duration quotaWindow,
         double quotaTolerance,
+        Duration staleLimit,
         boolean reportsUsage,
         boolean scalesEndpoints,
         RetryAllowance retries) {}
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -64,6 +64,7 @@
                 duration(table, "usage_window", Duration.ofSeconds(5)),
                 duration(table, "quota_window", Duration.ofSeconds(8)),
                 table.number("quota_tolerance", 0, 0, 1),
+                duration(table, "stale_limit", Duration.ofSeconds(3)),
                 duties.contains("usage"),
                 duties.contains("scale"),
                 new RetryAllowance(
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -65,7 +65,7 @@
             """;
 
     /** Initial retry budget, so that a node can retry immediately after its start. */
-    private static final int INITIAL_RETRIES = 5_000;
+    static final int INITIAL_RETRIES = 5_000;
 
     private final HttpClient client =
             HttpClient.newBuilder()
@@ -87,6 +87,12 @@
 
     static TestGateway start(
             String name, StoreStandIn store, CloudStandIn cloud, int savedRetries) {
+        return start(name, store.address(), cloud, savedRetries);
+    }
+
+    /** Starts a node that reaches the store at {@code store}. */
+    static TestGateway start(
+            String name, InetSocketAddress store, CloudStandIn cloud, int savedRetries) {
         String text =
                 String.format(
                         SETTINGS,
@@ -95,7 +101,7 @@
                         FreePorts.next(),
                         FreePorts.next(),
                         FreePorts.next(),
-                        store.address().getPort(),
+                        store.getPort(),
                         cloud.address().getPort(),
                         savedRetries);
         return new TestGateway(GatewaySettingsLoader.parse("test", text).orElseThrow());
