--- a/core/src/main/java/org/carobdoor/internal/duty/ClusterUsage.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/ClusterUsage.java
@@ -39,6 +39,12 @@
         }
     }
 
+    /** Applies all reports of {@code other}. */
+    public void addAll(ClusterUsage other) {
+        other.byWindow.forEach(
+                (window, runs) -> runs.forEach((run, counts) -> report(run, window, counts)));
+    }
+
     /** Returns the counts of the windows starting with {@code first}, by window and run. */
     public Map<Long, Map<String, Map<String, Long>>> since(long first) {
         Map<Long, Map<String, Map<String, Long>>> copy = new TreeMap<>();
--- a/core/src/main/java/org/carobdoor/internal/duty/UsageReports.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/UsageReports.java
@@ -48,12 +48,10 @@
     }
 
     /** Replaces the recorded windows with those in the store. */
-    public void loadRecorded(Map<Long, Map<String, Long>> records) {
+    public void loadRecorded(RecordedUsage record) {
         recorded.clear();
-        recorded.putAll(records);
-        if (!recorded.isEmpty()) {
-            lastRecorded = Math.max(lastRecorded, recorded.lastKey());
-        }
+        recorded.putAll(record.windows());
+        lastRecorded = Math.max(lastRecorded, record.lastWindow());
     }
 
     /** Marks {@code window} as accepted by the platform. */
--- a/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
@@ -10,9 +10,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.carobdoor.Bytes;
+import org.carobdoor.Failure;
+import org.carobdoor.Result;
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
 import org.carobdoor.internal.duty.DutyStep;
+import org.carobdoor.internal.duty.RecordedUsage;
 import org.carobdoor.internal.duty.UsageCounts;
 import org.carobdoor.internal.duty.UsageReports;
 import org.carobdoor.internal.duty.UsageStep;
@@ -142,11 +145,28 @@
         } else if (item.key().equals(NodeStoreKeys.REPORTED_USAGE)
                 && item.revision() > usageRevision) {
             usageRevision = item.revision();
-            reportedUsageLoaded = true;
-            reports.loadRecorded(UsageRecord.decode(item.value()));
+            loadReportedUsage(item);
+        }
+    }
+
+    private void loadReportedUsage(StoreItem item) {
+        switch (UsageRecord.decode(item.value())) {
+            case Result.Ok<RecordedUsage>(RecordedUsage record) -> {
+                reportedUsageLoaded = true;
+                reports.loadRecorded(record);
+            }
+            case Result.Err<RecordedUsage>(Failure f) -> {
+                // Windows that may have been reported must not be reported with other counts.
+                reportedUsageLoaded = false;
+                logUnreadable(f);
+            }
         }
     }
 
+    private void logUnreadable(Failure f) {
+        log.line("usage.record_unreadable").add("failure", '"' + f.toString() + '"').write();
+    }
+
     /** Processes that a key does not exist at {@code revision}. */
     void keyMissing(String key, long revision) {
         if (key.equals(NodeStoreKeys.DUTY_HOLDER)) {
@@ -193,7 +213,7 @@
                 answer -> {
                     if (answer instanceof StoreAnswer.Page page) {
                         unreportedUsageLoaded = true;
-                        page.items().forEach(i -> UsageRecord.decodeUnreported(i.value(), usage));
+                        page.items().forEach(i -> addUnreportedUsage(i.value()));
                     } else if (isHolder()) {
                         loop.schedule(
                                 this::loadUnreportedUsage,
@@ -203,6 +223,13 @@
                 });
     }
 
+    private void addUnreportedUsage(Bytes value) {
+        switch (UsageRecord.decodeUnreported(value)) {
+            case Result.Ok<ClusterUsage>(ClusterUsage saved) -> usage.addAll(saved);
+            case Result.Err<ClusterUsage>(Failure f) -> logUnreadable(f);
+        }
+    }
+
     /** Saves the counts of the recent windows, so that they survive a stop of all processes. */
     private void saveUnreportedUsage() {
         if (!unreportedUsageLoaded) {
@@ -210,15 +237,15 @@
         }
         unreportedSavedNanos = System.nanoTime();
         long first = usageCounts.windowAt(clusterMillis.getAsLong()) - UNREPORTED_WINDOWS;
-        Bytes value = UsageRecord.encodeUnreported(usage.since(first));
-        if (value.size() == 0) {
+        Map<Long, Map<String, Map<String, Long>>> windows = usage.since(first);
+        if (windows.isEmpty()) {
             return;
         }
         // A failed save is not retried, since the next one replaces it.
         store.write(
                 Map.of(NodeStoreKeys.DUTY_HOLDER, dutyLease.fencingToken()),
                 NodeStoreKeys.UNREPORTED_USAGE,
-                value,
+                UsageRecord.encodeUnreported(windows),
                 0,
                 answer -> {});
     }
@@ -289,7 +316,7 @@
                     if (answer instanceof StoreAnswer.Written(long revision)
                             && revision > usageRevision) {
                         usageRevision = revision;
-                        reports.loadRecorded(records);
+                        reports.loadRecorded(RecordedUsage.of(records));
                     } else {
                         reports.retryLater(clusterMillis.getAsLong());
                     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/UsageRecord.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/UsageRecord.java
@@ -1,78 +1,162 @@
 package org.carobdoor.node.gateway.control;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonWriteFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.UncheckedIOException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.carobdoor.Bytes;
+import org.carobdoor.FailureKind;
+import org.carobdoor.Result;
 import org.carobdoor.internal.duty.ClusterUsage;
+import org.carobdoor.internal.duty.RecordedUsage;
 
 /**
- * Encodes and decodes the usage counts in the store. Reported counts have one line {@code window
- * account=count ...} for each window; in unreported counts each line begins with the node's run.
+ * Encodes and decodes the usage counts in the store: a JSON document with a version, in the last
+ * line.
+ *
+ * <p>Before it come the same counts in the form of {@link UsageText}, for nodes of an earlier
+ * release that take over the duties during a rolling update; they skip the document. A value
+ * without a document was written by such a node.
  */
 final class UsageRecord {
+    private static final int VERSION = 2;
+    private static final String VERSION_FIELD = "version";
+    private static final String WINDOWS_FIELD = "windows";
+
+    /** Escapes make a lone surrogate in a name survive, which UTF-8 cannot encode. */
+    private static final ObjectMapper JSON =
+            new ObjectMapper(
+                    JsonFactory.builder()
+                            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                            .enable(JsonWriteFeature.ESCAPE_NON_ASCII)
+                            .build());
+
     private UsageRecord() {}
 
+    /** Encodes reported counts, by window and client account. */
     static Bytes encode(Map<Long, Map<String, Long>> windows) {
-        StringBuilder text = new StringBuilder();
+        ObjectNode document = document();
+        ObjectNode byWindow = document.putObject(WINDOWS_FIELD);
         new TreeMap<>(windows)
-                .forEach(
-                        (window, counts) -> {
-                            text.append(window);
-                            new TreeMap<>(counts)
-                                    .forEach(
-                                            (a, n) ->
-                                                    text.append(' ')
-                                                            .append(a)
-                                                            .append('=')
-                                                            .append(n));
-                            text.append('\n');
-                        });
-        return Bytes.utf8(text.toString());
+                .forEach((window, counts) -> put(byWindow, Long.toString(window), counts));
+        return Bytes.utf8(UsageText.encode(windows) + write(document));
     }
 
-    static Bytes encodeUnreported(Map<Long, Map<String, Map<String, Long>>> byWindow) {
-        StringBuilder text = new StringBuilder();
-        byWindow.forEach(
-                (window, runs) ->
-                        runs.forEach(
-                                (run, counts) ->
-                                        text.append(run)
-                                                .append(' ')
-                                                .append(encode(Map.of(window, counts)).toUtf8())));
-        return Bytes.utf8(text.toString());
+    /** Encodes counts that are not reported yet, by window, run of a node, and client account. */
+    static Bytes encodeUnreported(Map<Long, Map<String, Map<String, Long>>> windows) {
+        ObjectNode document = document();
+        ObjectNode byWindow = document.putObject(WINDOWS_FIELD);
+        windows.forEach(
+                (window, runs) -> {
+                    ObjectNode byRun = byWindow.putObject(Long.toString(window));
+                    runs.forEach((run, counts) -> put(byRun, run, counts));
+                });
+        return Bytes.utf8(UsageText.encodeUnreported(windows) + write(document));
     }
 
-    /** Adds counts that {@link #encodeUnreported} encoded to {@code usage}. */
-    static void decodeUnreported(Bytes value, ClusterUsage usage) {
-        for (String line : value.toUtf8().split("\n", -1)) {
-            int space = line.indexOf(' ');
-            if (space > 0) {
-                decode(Bytes.utf8(line.substring(space + 1)))
-                        .forEach((w, counts) -> usage.report(line.substring(0, space), w, counts));
+    /**
+     * Decodes reported counts. The failure names what cannot be read; the caller must not take the
+     * windows for unreported then.
+     */
+    static Result<RecordedUsage> decode(Bytes value) {
+        Optional<String> json = documentLine(value);
+        if (json.isEmpty()) {
+            return Result.ok(UsageText.decode(value.toUtf8()));
+        }
+        try {
+            Map<Long, Map<String, Long>> windows = new HashMap<>();
+            for (Map.Entry<String, JsonNode> w : windows(json.get()).properties()) {
+                windows.put(Long.parseLong(w.getKey()), counts(w.getValue()));
             }
+            return Result.ok(RecordedUsage.of(windows));
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            return unreadable(e);
         }
     }
 
-    /** Decodes reported counts; ignores malformed lines, since only nodes write the key. */
-    static Map<Long, Map<String, Long>> decode(Bytes value) {
-        Map<Long, Map<String, Long>> windows = new HashMap<>();
-        for (String line : value.toUtf8().split("\n", -1)) {
-            String[] fields = line.split(" ", -1);
-            if (!fields[0].matches("-?\\d{1,18}")) {
-                continue;
-            }
-            Map<String, Long> counts = new HashMap<>();
-            for (int i = 1; i < fields.length; i++) {
-                int equalsSign = fields[i].lastIndexOf('=');
-                if (equalsSign > 0 && fields[i].substring(equalsSign + 1).matches("\\d{1,18}")) {
-                    counts.put(
-                            fields[i].substring(0, equalsSign),
-                            Long.parseLong(fields[i].substring(equalsSign + 1)));
+    /** Decodes counts that are not reported yet. */
+    static Result<ClusterUsage> decodeUnreported(Bytes value) {
+        ClusterUsage usage = ClusterUsage.create();
+        Optional<String> json = documentLine(value);
+        if (json.isEmpty()) {
+            UsageText.decodeUnreported(value.toUtf8(), usage);
+            return Result.ok(usage);
+        }
+        try {
+            for (Map.Entry<String, JsonNode> w : windows(json.get()).properties()) {
+                for (Map.Entry<String, JsonNode> run : w.getValue().properties()) {
+                    long window = Long.parseLong(w.getKey());
+                    usage.report(run.getKey(), window, counts(run.getValue()));
                 }
             }
-            windows.put(Long.parseLong(fields[0]), counts);
+            return Result.ok(usage);
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            return unreadable(e);
+        }
+    }
+
+    private static <T> Result<T> unreadable(Exception e) {
+        return Result.err(
+                FailureKind.REJECTED, "usage.decode", "store", String.valueOf(e.getMessage()));
+    }
+
+    /** Returns the last line if it is a document; an account's name cannot begin one. */
+    private static Optional<String> documentLine(Bytes value) {
+        String text = value.toUtf8();
+        String last = text.substring(text.lastIndexOf('\n') + 1);
+        return last.startsWith("{") ? Optional.of(last) : Optional.empty();
+    }
+
+    private static ObjectNode document() {
+        return JsonNodeFactory.instance.objectNode().put(VERSION_FIELD, VERSION);
+    }
+
+    private static void put(ObjectNode parent, String name, Map<String, Long> counts) {
+        ObjectNode byAccount = parent.putObject(name);
+        new TreeMap<>(counts).forEach(byAccount::put);
+    }
+
+    private static String write(ObjectNode document) {
+        try {
+            return JSON.writeValueAsString(document);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static JsonNode windows(String json) throws JsonProcessingException {
+        JsonNode document = JSON.readTree(json);
+        if (document.path(VERSION_FIELD).intValue() != VERSION) {
+            throw new IllegalArgumentException(
+                    "version " + document.path(VERSION_FIELD) + " is not " + VERSION);
+        }
+        JsonNode windows = document.path(WINDOWS_FIELD);
+        if (!windows.isObject()) {
+            throw new IllegalArgumentException("\"" + WINDOWS_FIELD + "\" is not an object");
         }
         return windows;
     }
+
+    private static Map<String, Long> counts(JsonNode byAccount) {
+        if (!byAccount.isObject()) {
+            throw new IllegalArgumentException("counts are not an object: " + byAccount);
+        }
+        Map<String, Long> counts = new HashMap<>();
+        for (Map.Entry<String, JsonNode> c : byAccount.properties()) {
+            if (!c.getValue().isIntegralNumber() || !c.getValue().canConvertToLong()) {
+                throw new IllegalArgumentException("count is not an integer: " + c.getValue());
+            }
+            counts.put(c.getKey(), c.getValue().longValue());
+        }
+        return counts;
+    }
 }
