Write account names in the usage record as values, not as field names

Jackson refuses to read a field whose name has a lone surrogate, so such a name made the whole record unreadable.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/UsageRecord.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/UsageRecord.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.json.JsonWriteFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.UncheckedIOException;
@@ -32,7 +33,10 @@
     private static final String VERSION_FIELD = "version";
     private static final String WINDOWS_FIELD = "windows";
 
-    /** Escapes make a lone surrogate in a name survive, which UTF-8 cannot encode. */
+    /**
+     * Escapes make a lone surrogate in a name survive, which UTF-8 cannot encode. Names are values
+     * in the document, since such a name is not allowed as that of a field.
+     */
     private static final ObjectMapper JSON =
             new ObjectMapper(
                     JsonFactory.builder()
@@ -121,8 +125,8 @@
     }
 
     private static void put(ObjectNode parent, String name, Map<String, Long> counts) {
-        ObjectNode byAccount = parent.putObject(name);
-        new TreeMap<>(counts).forEach(byAccount::put);
+        ArrayNode byAccount = parent.putArray(name);
+        new TreeMap<>(counts).forEach((account, n) -> byAccount.addArray().add(account).add(n));
     }
 
     private static String write(ObjectNode document) {
@@ -147,15 +151,19 @@
     }
 
     private static Map<String, Long> counts(JsonNode byAccount) {
-        if (!byAccount.isObject()) {
-            throw new IllegalArgumentException("counts are not an object: " + byAccount);
+        if (!byAccount.isArray()) {
+            throw new IllegalArgumentException("counts are not a list: " + byAccount);
         }
         Map<String, Long> counts = new HashMap<>();
-        for (Map.Entry<String, JsonNode> c : byAccount.properties()) {
-            if (!c.getValue().isIntegralNumber() || !c.getValue().canConvertToLong()) {
-                throw new IllegalArgumentException("count is not an integer: " + c.getValue());
+        for (JsonNode pair : byAccount) {
+            JsonNode account = pair.path(0);
+            JsonNode n = pair.path(1);
+            if (!account.isTextual() || !n.isIntegralNumber() || !n.canConvertToLong()) {
+                throw new IllegalArgumentException("not an account and its count: " + pair);
+            }
+            if (counts.put(account.textValue(), n.longValue()) != null) {
+                throw new IllegalArgumentException("two counts of one account: " + pair);
             }
-            counts.put(c.getKey(), c.getValue().longValue());
         }
         return counts;
     }
--- a/node/src/test/java/org/carobdoor/node/gateway/control/UsageRecordTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/control/UsageRecordTest.java
@@ -139,9 +139,9 @@
                 "{\"version\":2,\"windows\":[]}",
                 "{\"version\":2,\"windows\":{\"x\":{}}}",
                 "{\"version\":2,\"windows\":{\"7\":3}}",
-                "{\"version\":2,\"windows\":{\"7\":{\"hay\":\"3\"}}}",
-                "{\"version\":2,\"windows\":{\"7\":{\"hay\":3.5}}}",
-                "{\"version\":2,\"windows\":{\"7\":{\"hay\":3,\"hay\":4}}}"
+                "{\"version\":2,\"windows\":{\"7\":[[\"hay\",\"3\"]]}}",
+                "{\"version\":2,\"windows\":{\"7\":[[\"hay\",3.5]]}}",
+                "{\"version\":2,\"windows\":{\"7\":[[\"hay\",3],[\"hay\",4]]}}"
             })
     void unknownDocumentIsNotTakenForAnEmptyOne(String document) {
         Bytes value = Bytes.utf8("7 hay=3\n" + document);
