Assemble bodies in one buffer, in time linear to their size

Each part also kept its receive buffer alive.

Why this works: the parts are copied into a buffer that doubles, at most a few copies of each byte, and nothing of the receive buffers remains. The announced length is trusted with 64 KB only.

--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -1,11 +1,11 @@
 package org.carobdoor.node.gateway.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.List;
@@ -26,6 +26,7 @@
 import org.carobdoor.node.gateway.endpoint.Endpoint;
 import org.carobdoor.node.gateway.endpoint.EndpointExchange;
 import org.carobdoor.node.gateway.endpoint.ResponseListener;
+import org.carobdoor.node.gateway.net.BodyBuffer;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -33,7 +34,6 @@
  * and notifies its listener of the result. Confined to the event loop.
  */
 final class EndpointAttempt implements ResponseListener, AutoCloseable {
-    private static final int MAX_BODY_PARTS = 64;
     private static final int MAX_LOGGED_PARTS = 8;
     private static final int MAX_URGENCY = 9;
 
@@ -79,7 +79,7 @@
     private @Nullable ScheduledFuture<?> slowResponseTimer;
     private @Nullable HttpResponse head;
     private @Nullable EndpointAnswer decodedHead;
-    private @Nullable CompositeByteBuf body;
+    private @Nullable BodyBuffer body;
     private Runnable beforeWrite = () -> {};
     private int remainingPrefillTokens;
     private boolean written;
@@ -252,9 +252,10 @@
             listener.onStreamData(h, content);
         } else {
             if (body == null) {
-                body = content.alloc().compositeBuffer(MAX_BODY_PARTS);
+                long length = HttpUtil.getContentLength(h, 0L);
+                body = BodyBuffer.create(content.alloc(), length);
             }
-            body.addComponent(true, content);
+            body.add(content);
         }
     }
 
@@ -293,7 +294,7 @@
             onConnectionLost("stream ended inside an event or before its first one");
             return;
         }
-        ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body;
+        ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : body.take();
         body = null;
         close();
         if (!a.notExecuted()) {
@@ -416,7 +417,7 @@
         }
         endpointExchange.close();
         if (body != null) {
-            body.release();
+            body.close();
             body = null;
         }
         load.recordEnded(remainingPrefillTokens, promptTokens);
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
@@ -1,7 +1,6 @@
 package org.carobdoor.node.gateway.front;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -21,6 +20,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.carobdoor.internal.deployment.CallerLimits;
+import org.carobdoor.node.gateway.net.BodyBuffer;
 import org.carobdoor.node.gateway.net.MessageFraming;
 import org.jspecify.annotations.Nullable;
 
@@ -32,9 +32,6 @@
  * after it cannot be told apart from its body.
  */
 final class CallerConnectionHandler extends ChannelInboundHandlerAdapter {
-    /** Number of components beyond which a composite buffer consolidates them. */
-    private static final int MAX_BODY_PARTS = 64;
-
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final RequestHandler requests;
@@ -42,7 +39,7 @@
     private final Deque<HttpObject> pipelinedObjects = new ArrayDeque<>();
     private @Nullable Channel channel;
     private @Nullable HttpRequest head;
-    private @Nullable CompositeByteBuf body;
+    private @Nullable BodyBuffer body;
     private @Nullable Exchange exchange;
     private boolean keepAlive = true;
     private boolean inputClosed;
@@ -107,11 +104,12 @@
         head = request;
         arrivedNanos = System.nanoTime();
         keepAlive = HttpUtil.isKeepAlive(request);
-        body = ch.alloc().compositeBuffer(MAX_BODY_PARTS);
         CallerLimits limits = requests.limits();
+        long length = HttpUtil.getContentLength(request, 0L);
+        body = BodyBuffer.create(ch.alloc(), length);
         if (!MessageFraming.isUnambiguous(request)) {
             refuse(ch, HttpResponseStatus.BAD_REQUEST);
-        } else if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+        } else if (length > limits.bodyBytes()) {
             refuse(ch, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         } else if (HttpUtil.is100ContinueExpected(request)) {
             ch.writeAndFlush(
@@ -121,27 +119,23 @@
 
     private void readContent(Channel ch, HttpContent content) {
         HttpRequest h = head;
-        CompositeByteBuf b = body;
+        BodyBuffer b = body;
         if (h == null || b == null) {
             content.release();
             return;
         }
         ByteBuf part = content.content();
-        if (b.readableBytes() + part.readableBytes() > requests.limits().bodyBytes()) {
+        if (b.size() + part.readableBytes() > requests.limits().bodyBytes()) {
             content.release();
             refuse(ch, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (part.isReadable()) {
-            b.addComponent(true, part);
-        } else {
-            content.release();
-        }
+        b.add(part);
         if (content instanceof LastHttpContent) {
             head = null;
             body = null;
             headStartNanos = 0;
-            Exchange e = new Exchange(this, ch, h, b, arrivedNanos);
+            Exchange e = new Exchange(this, ch, h, b.take(), arrivedNanos);
             exchange = e;
             requests.handle(e);
         }
@@ -243,7 +237,7 @@
     private void releaseBody() {
         head = null;
         if (body != null) {
-            body.release();
+            body.close();
             body = null;
         }
     }
--- a/node/src/test/java/org/carobdoor/node/gateway/EndlessAnswerTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/EndlessAnswerTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import org.carobdoor.standins.gateway.BackendStandIn;
 import org.carobdoor.standins.gateway.CloudStandIn;
 import org.carobdoor.standins.gateway.EndlessResponseStandIn;
@@ -25,6 +26,9 @@
 
     private static final long MAX_HELD_BYTES = 32L << 20;
 
+    /** Longest acceptable delay of a request that has nothing to do with an endless response. */
+    private static final long MAX_DELAY_MILLIS = 500;
+
     /** Statuses with which a node reports to a caller that it has no response. */
     private static final List<Integer> FAILURES = List.of(502, 503, 504);
 
@@ -81,6 +85,31 @@
         }
     }
 
+    @Test
+    void otherRequestsAreNotDelayedByBodiesInTinyChunks() throws InterruptedException {
+        try (EndlessResponseStandIn endless = EndlessResponseStandIn.start(Kind.CHUNKS);
+                BackendStandIn engine = BackendStandIn.start("i-2");
+                ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            endless.register(store, "i-1", "desk");
+            engine.register(store, "llm", "ready");
+            try (TestGateway node = startReadyNode()) {
+                assertThat(node.post("/llm/a", "prompt").statusCode()).isEqualTo(200);
+                CompletableFuture<Integer> answer =
+                        CompletableFuture.supplyAsync(
+                                () -> node.get("/safe/a").statusCode(), threads);
+                long longestNanos = 0;
+                while (!answer.isDone()) {
+                    long start = System.nanoTime();
+                    assertThat(node.post("/llm/a", "prompt").statusCode()).isEqualTo(200);
+                    longestNanos = Math.max(longestNanos, System.nanoTime() - start);
+                }
+                assertThat(FAILURES).contains(answer.join());
+                assertThat(TimeUnit.NANOSECONDS.toMillis(longestNanos))
+                        .isLessThan(MAX_DELAY_MILLIS);
+            }
+        }
+    }
+
     @Test
     void otherRequestsAreServedDuringManyEndlessResponses() throws InterruptedException {
         int callers = 30;
