Limit the length of lines that the HTTP client buffers

Seen: a faulty endpoint that sends the line of a chunk size without end makes the daemon hold all of it, until it runs out of memory and the requests of all callers end with it.

Cause: OkHttp limits heads, but reads a chunk size up to its line feed into memory. The limits of the own code come after that.

Why this works: the socket counts the bytes since the last line feed, below the HTTP client, and fails the read after 9 MB; bodies are limited to 8 MB, so none that is accepted is cut.

--- a/clients/src/main/java/org/carobdoor/clients/http/SingleAttemptHttp.java
+++ b/clients/src/main/java/org/carobdoor/clients/http/SingleAttemptHttp.java
@@ -22,6 +22,9 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final int HTTP_UNAVAILABLE = 503;
 
+    /** More than the largest body that a client of this project accepts. */
+    private static final long MAX_LINE_BYTES = 9 << 20;
+
     private SingleAttemptHttp() {}
 
     /**
@@ -35,6 +38,7 @@
                 .followSslRedirects(false)
                 .fastFallback(false)
                 .proxy(Proxy.NO_PROXY)
+                .socketFactory(new LineLimitedSocketFactory(MAX_LINE_BYTES))
                 .connectTimeout(CONNECT_TIMEOUT)
                 .readTimeout(Duration.ZERO)
                 .writeTimeout(Duration.ZERO)
--- a/standins/src/main/java/org/carobdoor/standins/gateway/EndlessResponseStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/EndlessResponseStandIn.java
@@ -91,11 +91,14 @@
         }
     }
 
+    /** Returns the address that this endpoint listens on. */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+    }
+
     /** Registers this endpoint in the store as ready. */
     public void register(StoreStandIn store, String id, String service) {
-        InetSocketAddress address =
-                new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
-        store.putEndpoint(id, service, "ready", address);
+        store.putEndpoint(id, service, "ready", address());
     }
 
     /** Returns the number of bytes of the repeated part sent so far, on all connections. */
