Limit the replies of the platform to the daemon's own interface to 8 MB

Cause: the client of the key-value service, the cloud API and the weight store read bodies whole, whatever their size; an endless one filled the heap.

--- a/clients/src/main/java/org/carobdoor/clients/http/JsonHttpClient.java
+++ b/clients/src/main/java/org/carobdoor/clients/http/JsonHttpClient.java
@@ -16,6 +16,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import okio.BufferedSource;
 import org.carobdoor.FailureKind;
 import org.carobdoor.Result;
 
@@ -36,6 +37,9 @@
     private static final MediaType JSON = MediaType.get("application/json");
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    /** Limits what a faulty service can make this process hold for one call. */
+    private static final long MAX_BODY_BYTES = 8 << 20;
+
     private final HttpUrl base;
     private final String peer;
     private final InstantSource clock;
@@ -102,7 +106,14 @@
         Call call = client.newCall(SingleAttemptHttp.withTracker(request, tracker));
         var unused = call.timeout().timeout(remaining.toNanos(), TimeUnit.NANOSECONDS);
         try (Response response = call.execute()) {
-            return toResult(step, type, response.code(), response.body().bytes());
+            BufferedSource body = response.body().source();
+            if (body.request(MAX_BODY_BYTES + 1)) {
+                return failure(
+                        type.failureKindWithoutResponse(),
+                        step,
+                        "the response body exceeds " + MAX_BODY_BYTES + " B");
+            }
+            return toResult(step, type, response.code(), body.readByteArray());
         } catch (IOException e) {
             FailureKind kind =
                     tracker.mayHaveBeenSent()
