Limit the memory of all replies of the platform together

Seen: eight endless replies of the store hold 84 MB of the 160 MB that the deployed daemon has for all buffers; each is limited to 8 MB, all are not.

Cause: the limit over all responses, made for endpoints, did not cover the client of the platform.

Why this works: the same limit counts the bytes before they are decoded, and ends a reply that takes more than a quarter of what is free; alone it may take 8 MB as before.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
@@ -42,6 +42,7 @@
     private static final int UNREPORTED_WINDOWS = 3;
 
     private static final long CLOUD_TIMEOUT_MILLIS = 1_500;
+    private static final long MAX_CLOUD_REPLY_BYTES = 4L << 20;
 
     private final EventLoop loop;
     private final StoreClient store;
@@ -79,7 +80,7 @@
             DecisionLog log) {
         this.loop = loop;
         this.store = store;
-        this.cloudClient = new PlatformClient(loop, cloudAddress, log);
+        this.cloudClient = new PlatformClient(loop, cloudAddress, MAX_CLOUD_REPLY_BYTES, log);
         this.dutyLease = dutyLease;
         this.usageCounts = state.usage();
         this.reports = UsageReports.create(usageCounts);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
@@ -23,6 +23,8 @@
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.node.gateway.net.Connector;
+import org.carobdoor.node.gateway.net.ReceivedByteCounter;
+import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 import org.carobdoor.platform.HttpCall;
 import org.carobdoor.platform.HttpReply;
 import org.jspecify.annotations.Nullable;
@@ -63,12 +65,20 @@
     private final Deque<Connection> idleConnections = new ArrayDeque<>();
     private final EventLoop loop;
     private final InetSocketAddress address;
+    private final ResponseBufferLimit replyLimit;
     private final DecisionLog log;
     private long callCount;
 
-    PlatformClient(EventLoop loop, InetSocketAddress address, DecisionLog log) {
+    /**
+     * Creates a client.
+     *
+     * @param maxReplyBytes the memory for the replies of all calls together; a single one may take
+     *     a fifth of it
+     */
+    PlatformClient(EventLoop loop, InetSocketAddress address, long maxReplyBytes, DecisionLog log) {
         this.loop = loop;
         this.address = address;
+        this.replyLimit = ResponseBufferLimit.create(maxReplyBytes);
         this.log = log;
     }
 
@@ -90,6 +100,7 @@
                         loop,
                         address,
                         CONNECT_TIMEOUT_MILLIS,
+                        newConnection.receivedBytes,
                         new HttpClientCodec(),
                         new HttpObjectAggregator(MAX_REPLY_BYTES),
                         newConnection)
@@ -123,6 +134,14 @@
 
     /** A connection that carries one call at a time. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final ReceivedByteCounter receivedBytes =
+                new ReceivedByteCounter(
+                        replyLimit,
+                        () ->
+                                complete(
+                                        new Outcome.NoReply("reply exceeds the memory for replies"),
+                                        false));
+
         private @Nullable Channel channel;
         private @Nullable Callback pendingCallback;
         private @Nullable ScheduledFuture<?> timer;
@@ -200,6 +219,7 @@
             }
             Callback callback = pendingCallback;
             pendingCallback = null;
+            receivedBytes.release();
             if (keepAlive && callback != null && isOpen()) {
                 idleSinceNanos = System.nanoTime();
                 idleConnections.addLast(this);
@@ -212,6 +232,7 @@
         }
 
         void closeChannel() {
+            receivedBytes.close();
             if (channel != null) {
                 channel.close();
             }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
@@ -20,10 +20,13 @@
     /** The store replies within milliseconds, but on some days takes 50 times as long or more. */
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
 
+    /** Leaves a single reply the largest size that a page or a watch may have. */
+    private static final long MAX_REPLY_BYTES = 40L << 20;
+
     private final PlatformClient client;
 
     StoreClient(EventLoop loop, InetSocketAddress address, DecisionLog log) {
-        client = new PlatformClient(loop, address, log);
+        client = new PlatformClient(loop, address, MAX_REPLY_BYTES, log);
     }
 
     long callCount() {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -7,6 +7,7 @@
 import org.carobdoor.internal.placement.EndpointLoad;
 import org.carobdoor.internal.quarantine.EndpointCrashDetector;
 import org.carobdoor.message.RequestFeatures;
+import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 
 /** An endpoint with its load and this node's connections to it. Confined to the event loop. */
 public final class Endpoint implements AutoCloseable {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -14,6 +14,8 @@
 import io.netty.util.ReferenceCountUtil;
 import org.carobdoor.internal.request.EndpointAnswer;
 import org.carobdoor.node.gateway.net.MessageFraming;
+import org.carobdoor.node.gateway.net.ReceivedByteCounter;
+import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 import org.carobdoor.platform.EndpointHeaders;
 import org.jspecify.annotations.Nullable;
 
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.carobdoor.node.gateway.net.Connector;
+import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 
 /** The connection pool of this node for one endpoint. Confined to the event loop. */
 final class EndpointConnectionPool implements AutoCloseable {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -18,12 +18,19 @@
 import org.carobdoor.internal.placement.EndpointLoad;
 import org.carobdoor.message.EndpointUse;
 import org.carobdoor.node.gateway.log.DecisionLog;
+import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 
 /**
  * The endpoints of the directory with their load and connections, by service. Confined to the event
  * loop.
  */
 public final class EndpointTable implements DirectoryListener {
+    /**
+     * One fifth of the heap of the deployed daemon; direct buffers may use as much memory as the
+     * heap. A single response may hold 6.4 MB, more than a request.
+     */
+    private static final long MAX_RESPONSE_BYTES = 32L << 20;
+
     /** Maximum connections to one endpoint until the configuration states how many it accepts. */
     private static final int DEFAULT_MAX_CONNECTIONS = 64;
 
@@ -41,7 +48,7 @@
     private final Map<EndpointId, Endpoint> byId = new HashMap<>();
     private final Map<String, List<EndpointLoad>> byService = new HashMap<>();
     private final Map<String, Map<EndpointId, EndpointUse>> remoteUse = new HashMap<>();
-    private final ResponseBufferLimit bufferLimit = ResponseBufferLimit.create();
+    private final ResponseBufferLimit bufferLimit = ResponseBufferLimit.create(MAX_RESPONSE_BYTES);
     private final EventLoop loop;
     private final DecisionLog log;
     private Optional<Configuration> configuration = Optional.empty();
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/ReceivedByteCounter.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/net/ReceivedByteCounter.java
@@ -1,4 +1,4 @@
-package org.carobdoor.node.gateway.endpoint;
+package org.carobdoor.node.gateway.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,7 +9,8 @@
  * Counts the bytes of responses before they are decoded, since not all of them become part of a
  * message: empty lines before the head, interim responses and responses to other requests do not.
  */
-final class ReceivedByteCounter extends ChannelInboundHandlerAdapter implements AutoCloseable {
+public final class ReceivedByteCounter extends ChannelInboundHandlerAdapter
+        implements AutoCloseable {
     private final ResponseBufferLimit bufferLimit;
     private final Runnable onLimitExceeded;
     private long heldBytes;
@@ -20,13 +21,13 @@
      *
      * @param onLimitExceeded runs when the response must not continue
      */
-    ReceivedByteCounter(ResponseBufferLimit bufferLimit, Runnable onLimitExceeded) {
+    public ReceivedByteCounter(ResponseBufferLimit bufferLimit, Runnable onLimitExceeded) {
         this.bufferLimit = bufferLimit;
         this.onLimitExceeded = onLimitExceeded;
     }
 
     /** Releases all counted bytes, which are no longer buffered. */
-    void release() {
+    public void release() {
         bufferLimit.release(heldBytes);
         heldBytes = 0;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/ResponseBufferLimit.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/net/ResponseBufferLimit.java
@@ -1,8 +1,8 @@
-package org.carobdoor.node.gateway.endpoint;
+package org.carobdoor.node.gateway.net;
 
 /**
- * Limits the memory for response bytes that endpoints have sent and that have not been forwarded to
- * callers yet.
+ * Limits the memory for response bytes that endpoints or the platform have sent and that have not
+ * been forwarded or processed yet.
  *
  * <p>A single response may hold a fraction of the free space, so that some space always remains for
  * others, however many responses grow without end. The rule is the dynamic threshold of Choudhury
@@ -11,17 +11,8 @@
  * <p>The limit is designed for faulty endpoints that send unbounded responses to all requests of a
  * node. Confined to the event loop.
  */
-final class ResponseBufferLimit {
-    /**
-     * One fifth of the heap of the deployed daemon; direct buffers may use as much memory as the
-     * heap.
-     */
-    private static final long MAX_BYTES = 32L << 20;
-
-    /**
-     * A single response may hold one fifth of the space, 6.4 MB, which is more than a request may
-     * hold.
-     */
+public final class ResponseBufferLimit {
+    /** A single response may hold one fifth of the space. */
     private static final double MAX_FRACTION_OF_FREE = 0.25;
 
     private final long capacityBytes;
@@ -31,13 +22,13 @@
         this.capacityBytes = capacityBytes;
     }
 
-    /** Creates the limit of a node. */
-    static ResponseBufferLimit create() {
-        return new ResponseBufferLimit(MAX_BYTES);
+    /** Returns a limit of {@code capacityBytes} for all responses that share it. */
+    public static ResponseBufferLimit create(long capacityBytes) {
+        return new ResponseBufferLimit(capacityBytes);
     }
 
     /** Returns the bytes held by all responses. */
-    long heldBytes() {
+    public long heldBytes() {
         return heldBytes;
     }
 
@@ -47,13 +38,13 @@
      * @param responseBytes the bytes held by the response, including {@code added}
      * @return whether the response may continue
      */
-    boolean add(long added, long responseBytes) {
+    public boolean add(long added, long responseBytes) {
         heldBytes += added;
         return responseBytes <= MAX_FRACTION_OF_FREE * (capacityBytes - heldBytes);
     }
 
     /** Releases bytes that have been forwarded or discarded. */
-    void release(long released) {
+    public void release(long released) {
         heldBytes -= released;
     }
 }
