Keep each line of the decision log on one line

A line break in an account's name or a failure's text could end a line and begin one that looks like another decision. Control characters are replaced when the line is written.

--- a/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
@@ -56,6 +56,17 @@
         return droppedTotal.get();
     }
 
+    /** Replaces control characters, which could end the line and begin one that looks real. */
+    static String singleLine(CharSequence text) {
+        StringBuilder line = new StringBuilder(text);
+        for (int i = 0; i < line.length(); i++) {
+            if (Character.isISOControl(line.charAt(i))) {
+                line.setCharAt(i, '?');
+            }
+        }
+        return line.toString();
+    }
+
     private boolean tryAcquire() {
         long now = System.nanoTime();
         tokens =
@@ -99,7 +110,7 @@
                     add("left_out", droppedSinceLastLine);
                     droppedSinceLastLine = 0;
                 }
-                logger.info(text.toString());
+                logger.info(singleLine(text));
             }
         }
     }
