--- a/node/src/test/java/org/carobdoor/node/gateway/EndlessAnswerTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/EndlessAnswerTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufAllocatorMetric;
+import io.netty.buffer.ByteBufAllocatorMetricProvider;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -26,6 +29,14 @@
 
     private static final long MAX_HELD_BYTES = 32L << 20;
 
+    /** Fewer than the connections that the configuration allows to the service. */
+    private static final int CALLERS = 45;
+
+    /** Half of the memory that the buffers of the deployed daemon may take. */
+    private static final long MAX_BUFFER_BYTES = 80L << 20;
+
+    private static final long MAX_REMAINING_BYTES = 1L << 20;
+
     /** Longest acceptable delay of a request that has nothing to do with an endless response. */
     private static final long MAX_DELAY_MILLIS = 500;
 
@@ -110,17 +121,18 @@
         }
     }
 
-    @Test
-    void otherRequestsAreServedDuringManyEndlessResponses() throws InterruptedException {
-        int callers = 30;
-        try (EndlessResponseStandIn endless = EndlessResponseStandIn.start(Kind.LENGTH);
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "EVENT")
+    void otherRequestsAreServedDuringManyEndlessResponses(Kind kind) throws InterruptedException {
+        try (EndlessResponseStandIn endless = EndlessResponseStandIn.start(kind);
                 BackendStandIn engine = BackendStandIn.start("i-2");
                 ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
             endless.register(store, "i-1", "desk");
             engine.register(store, "llm", "ready");
+            long buffersBefore = bufferBytes();
             try (TestGateway node = startReadyNode()) {
                 List<CompletableFuture<Integer>> answers = new ArrayList<>();
-                for (int i = 0; i < callers; i++) {
+                for (int i = 0; i < CALLERS; i++) {
                     answers.add(
                             CompletableFuture.supplyAsync(
                                     () -> node.get("/safe/a").statusCode(), threads));
@@ -128,11 +140,20 @@
                 while (answers.stream().anyMatch(a -> !a.isDone())) {
                     assertThat(node.post("/llm/a", "prompt").statusCode()).isEqualTo(200);
                     assertThat(heldBytes(node)).isAtMost(MAX_HELD_BYTES);
+                    assertThat(bufferBytes() - buffersBefore).isLessThan(MAX_BUFFER_BYTES);
                 }
                 answers.forEach(a -> assertThat(FAILURES).contains(a.join()));
                 TestGateway.await(() -> endless.openAnswers() == 0);
                 assertThat(heldBytes(node)).isEqualTo(0);
+                TestGateway.await(() -> bufferBytes() - buffersBefore < MAX_REMAINING_BYTES);
             }
         }
     }
+
+    /** Returns what the buffers of this process hold; the tests run with the unpooled allocator. */
+    private static long bufferBytes() {
+        ByteBufAllocatorMetric metric =
+                ((ByteBufAllocatorMetricProvider) ByteBufAllocator.DEFAULT).metric();
+        return metric.usedDirectMemory() + metric.usedHeapMemory();
+    }
 }
