Let the usage record be deleted by an operator

OPERATIONS says to delete a record that no node can read. The holder then still expected the deleted revision, so its writes would have been refused until it stopped. Read, not played: no test deletes the key.

Measured: UsageRecordTest, UsageReportsTest and UsageTakeoverTest pass.

--- a/core/src/main/java/org/carobdoor/internal/duty/RecordedUsage.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/RecordedUsage.java
@@ -1,7 +1,7 @@
 package org.carobdoor.internal.duty;
 
+import java.util.Collections;
 import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * The usage counts in the store that have been or may have been reported.
@@ -20,6 +20,6 @@
     /** Returns a record whose counts can all be read. */
     public static RecordedUsage of(Map<Long, Map<String, Long>> windows) {
         return new RecordedUsage(
-                windows, windows.isEmpty() ? Long.MIN_VALUE : new TreeMap<>(windows).lastKey());
+                windows, windows.isEmpty() ? Long.MIN_VALUE : Collections.max(windows.keySet()));
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
@@ -174,6 +174,10 @@
             dutyLease.keyMissing(revision, System.nanoTime());
         } else if (key.equals(NodeStoreKeys.REPORTED_USAGE)) {
             reportedUsageLoaded = true;
+            if (revision > usageRevision) {
+                // The next write must expect that the key does not exist.
+                usageRevision = 0;
+            }
         }
     }
 
