--- a/node/src/test/java/org/carobdoor/node/gateway/front/RequestFramingTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/front/RequestFramingTest.java
@@ -151,8 +151,7 @@
     private static String printable(String text) {
         StringBuilder printable = new StringBuilder();
         for (char c : text.toCharArray()) {
-            printable.append(
-                    c > ' ' && c < 0x7f || c == ' ' ? c : String.format("\\x%02x", (int) c));
+            printable.append(c >= ' ' && c < 0x7f ? c : String.format("\\x%02x", (int) c));
         }
         return printable.toString();
     }
