Say what closing a taken body buffer would do

The comment promised that close has no effect after take; it would release the body. No caller does so. Formatter and linter pass; nothing else was run.

--- a/node/src/main/java/org/carobdoor/node/gateway/net/BodyBuffer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/net/BodyBuffer.java
@@ -50,7 +50,7 @@
         return buffer;
     }
 
-    /** Releases the bytes, unless the body has been taken. */
+    /** Releases the bytes; must not be called after {@link #take}. */
     @Override
     public void close() {
         buffer.release();
