--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -180,6 +180,7 @@
         StringBuilder text = new StringBuilder();
         state.counters().write(text);
         RetryMetrics.write(state.retries(), text);
+        state.endpoints().unexpectedAnswers().write(text);
         state.quarantine().writeMetrics(text);
         controlLoop.writeMetrics(text);
         text.append("# TYPE carobdoor_gateway_caller_connections gauge\n")
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -21,7 +21,8 @@
             long memoryTokens,
             int maxConnections,
             ResponseBufferLimit bufferLimit,
-            Runnable onConnectionOpened) {
+            Runnable onConnectionOpened,
+            UnexpectedAnswerListener unexpectedAnswers) {
         load = EndpointLoad.create(entry, memoryTokens, System.nanoTime());
         connections =
                 new EndpointConnectionPool(
@@ -30,7 +31,8 @@
                         maxConnections,
                         bufferLimit,
                         load::recordActivity,
-                        onConnectionOpened);
+                        onConnectionOpened,
+                        unexpectedAnswers);
         load.setMaxRunning(maxConnections);
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.carobdoor.internal.request.EndpointAnswer;
+import org.carobdoor.node.gateway.endpoint.UnexpectedAnswer.Reaction;
 import org.carobdoor.node.gateway.net.MessageFraming;
 import org.carobdoor.node.gateway.net.ReceivedByteCounter;
 import org.carobdoor.node.gateway.net.ResponseBufferLimit;
@@ -28,12 +29,15 @@
  * complete when the endpoint closes the connection, but not when it resets it.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final EndpointConnectionPool pool;
     private final ReceivedByteCounter receivedBytes;
     private @Nullable Channel channel;
     private @Nullable ResponseListener listener;
     private @Nullable ChannelFuture writeFuture;
     private String requestId = "";
+    private long sentNanos;
     private int requestCount;
     private boolean headSeen;
     private boolean skippingResponse;
@@ -83,6 +87,7 @@
     void send(FullHttpRequest request, String newRequestId, ResponseListener responseListener) {
         requestId = newRequestId;
         requestCount++;
+        sentNanos = System.nanoTime();
         listener = responseListener;
         headSeen = false;
         skippingResponse = false;
@@ -109,6 +114,9 @@
         pool.recordActivity();
         if (listener == null) {
             // Unsolicited bytes: what follows them cannot be told apart from a response.
+            if (!broken) {
+                recordUnexpected(Reaction.CLOSED, msg);
+            }
             ReferenceCountUtil.release(msg);
             close();
             return;
@@ -137,6 +145,7 @@
         }
         EndpointAnswer decodedHead = EndpointHeaders.decode(head);
         if (isForOtherRequest(decodedHead.requestId())) {
+            recordUnexpected(Reaction.DROPPED, head);
             skippingResponse = true;
             reusable = false;
             return;
@@ -144,6 +153,7 @@
         // A later response on this connection could not be told from a repetition of this one.
         reusable &= decodedHead.requestId() != null;
         if (headSeen) {
+            recordUnexpected(Reaction.FAILED, head);
             fail("second response to the same request");
             return;
         }
@@ -166,6 +176,24 @@
         return id == null ? requestCount > 1 : !id.equals(requestId);
     }
 
+    private void recordUnexpected(Reaction reaction, Object message) {
+        int status = 0;
+        String seenId = null;
+        if (message instanceof HttpResponse head && head.decoderResult().isSuccess()) {
+            EndpointAnswer answer = EndpointHeaders.decode(head);
+            status = answer.status();
+            seenId = answer.requestId();
+        }
+        pool.onUnexpectedAnswer(
+                new UnexpectedAnswer(
+                        reaction,
+                        status,
+                        seenId,
+                        requestId,
+                        requestCount,
+                        (System.nanoTime() - sentNanos) / NANOS_PER_MILLI));
+    }
+
     private void readContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         ResponseListener l = listener;
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -67,6 +67,7 @@
     private final LongConsumer activityListener;
     private final Runnable openListener;
     private final ResponseBufferLimit bufferLimit;
+    private final UnexpectedAnswerListener unexpectedAnswers;
     private int openCount;
     private int maxOpen;
 
@@ -76,13 +77,15 @@
             int max,
             ResponseBufferLimit bufferLimit,
             LongConsumer activityListener,
-            Runnable openListener) {
+            Runnable openListener,
+            UnexpectedAnswerListener unexpectedAnswers) {
         this.loop = loop;
         this.address = address;
         this.maxOpen = max;
         this.bufferLimit = bufferLimit;
         this.activityListener = activityListener;
         this.openListener = openListener;
+        this.unexpectedAnswers = unexpectedAnswers;
     }
 
     /**
@@ -181,6 +184,10 @@
         activityListener.accept(System.nanoTime());
     }
 
+    void onUnexpectedAnswer(UnexpectedAnswer answer) {
+        unexpectedAnswers.onUnexpectedAnswer(answer);
+    }
+
     void onClosed(EndpointConnection c) {
         openCount--;
         idle.remove(c);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -51,6 +51,7 @@
     private final ResponseBufferLimit bufferLimit = ResponseBufferLimit.create(MAX_RESPONSE_BYTES);
     private final EventLoop loop;
     private final DecisionLog log;
+    private final UnexpectedAnswers unexpectedAnswers;
     private Optional<Configuration> configuration = Optional.empty();
     private int nodeCount = 1;
     private Set<AvailabilityZone> unreachableZones = Set.of();
@@ -59,6 +60,7 @@
     private EndpointTable(EventLoop loop, DecisionLog log) {
         this.loop = loop;
         this.log = log;
+        this.unexpectedAnswers = new UnexpectedAnswers(log);
     }
 
     /** Returns an empty table. */
@@ -121,6 +123,11 @@
         return connectionsOpened;
     }
 
+    /** Returns the answers of all endpoints that were not passed on. */
+    public UnexpectedAnswers unexpectedAnswers() {
+        return unexpectedAnswers;
+    }
+
     /** Returns the response bytes that are buffered because no caller has received them yet. */
     public long bufferedResponseBytes() {
         return bufferLimit.heldBytes();
@@ -197,7 +204,8 @@
                         memoryTokens(entry.service()),
                         maxConnections(entry.service()),
                         bufferLimit,
-                        () -> connectionsOpened++);
+                        () -> connectionsOpened++,
+                        unexpectedAnswers.listener(entry.id()));
         byId.put(entry.id(), e);
         // Other nodes may have learned of the endpoint earlier and reported load on it.
         for (Map<EndpointId, EndpointUse> uses : remoteUse.values()) {
--- /dev/null
+++ b/node/src/test/java/org/carobdoor/node/gateway/RepeatedAnswerTest.java
@@ -0,0 +1,103 @@
+package org.carobdoor.node.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.http.HttpResponse;
+import org.carobdoor.standins.gateway.CloudStandIn;
+import org.carobdoor.standins.gateway.RawEndpointStandIn;
+import org.carobdoor.standins.gateway.RawEndpointStandIn.Request;
+import org.carobdoor.standins.gateway.RawEndpointStandIn.Responder;
+import org.carobdoor.standins.gateway.StoreStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against endpoints that answer a request twice, so that one of its answers is misused. */
+final class RepeatedAnswerTest {
+    private static final String METRIC = "carobdoor_gateway_unexpected_answers_total";
+
+    private StoreStandIn store;
+    private CloudStandIn cloud;
+
+    /** Started by each test after its endpoint is listed. */
+    @SuppressWarnings("NullAway.Init")
+    private TestGateway node;
+
+    @BeforeEach
+    void start() {
+        store = StoreStandIn.start();
+        cloud = CloudStandIn.start();
+        store.put("op/config", TestGateway.configuration(1, ""));
+    }
+
+    @AfterEach
+    void stop() {
+        node.close();
+        cloud.close();
+        store.close();
+    }
+
+    private RawEndpointStandIn startEndpoint(Responder responder) throws InterruptedException {
+        RawEndpointStandIn endpoint = RawEndpointStandIn.start(responder);
+        endpoint.register(store, "i-1", "desk");
+        node = TestGateway.start("n1", store, cloud);
+        TestGateway.await(node::isReady);
+        return endpoint;
+    }
+
+    private static String answer(int status, String id, String body) {
+        return "HTTP/1.1 "
+                + status
+                + " X\r\n"
+                + (id.isEmpty() ? "" : "X-Attempt-Id: " + id + "\r\n")
+                + "X-Server-Stamp: s\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    private String unexpectedAnswers(String reaction) {
+        return node.metric(METRIC + "\\{reaction=\"" + reaction + "\"\\}");
+    }
+
+    private static String idOf(Request request) {
+        return request.header("X-Attempt-Id");
+    }
+
+    @Test
+    void repeatedAnswerToAnEarlierRequestDoesNotEndTheNextOne() throws Exception {
+        String[] earlier = {""};
+        try (RawEndpointStandIn endpoint =
+                startEndpoint(
+                        (request, connection) -> {
+                            if (request.number() > 1) {
+                                connection.write(answer(500, earlier[0], "repeated"));
+                            }
+                            earlier[0] = idOf(request);
+                            connection.write(answer(200, idOf(request), "own"));
+                        })) {
+            node.post("/once/a", "first");
+            HttpResponse<String> r = node.post("/once/a", "second");
+            assertThat(endpoint.requests().get(1).number()).isEqualTo(2);
+            assertThat(r.statusCode()).isEqualTo(200);
+            assertThat(r.body()).isEqualTo("own");
+            assertThat(unexpectedAnswers("dropped")).isEqualTo("1");
+        }
+    }
+
+    @Test
+    void connectionOnWhichASecondAnswerArrivesIsNotUsedAgain() throws Exception {
+        try (RawEndpointStandIn endpoint =
+                startEndpoint(
+                        (request, connection) ->
+                                connection.write(
+                                        answer(500, idOf(request), "own")
+                                                + answer(200, idOf(request), "again")))) {
+            for (int i = 0; i < 3; i++) {
+                assertThat(node.post("/once/a", "bid").statusCode()).isEqualTo(500);
+            }
+            assertThat(endpoint.requests().stream().map(Request::number)).containsExactly(1, 1, 1);
+            assertThat(unexpectedAnswers("closed")).isEqualTo("3");
+        }
+    }
+}
