End a request whose endpoint sends an answer that may not be its own (MIXED)

Cause: a connection skipped an answer that it could not attribute (without a request id on a connection that had carried others, or with an id that was never sent on it) and let the request wait on. If that answer was the request's own failure, a later answer with its id was passed on as the first. Class: an answer of doubtful owner is treated as nobody's while its possible owner goes on.

Now core's AnswerCorrelator tells whose an answer is: the current request's, a repeat for an earlier request of the connection (skipped, as the id tells), or unknown. With an unknown one the request ends as broken and the connection is closed, so nothing that comes later can take its place.

A repeat with the id of an earlier request still costs the next request nothing (test). That this is what the users saw is not shown: their record has no line on it.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.carobdoor.internal.request.AnswerCorrelator;
+import org.carobdoor.internal.request.AnswerOwner;
 import org.carobdoor.internal.request.EndpointAnswer;
 import org.carobdoor.node.gateway.endpoint.UnexpectedAnswer.Reaction;
 import org.carobdoor.node.gateway.net.MessageFraming;
@@ -24,8 +26,8 @@
  * A connection to an endpoint, which carries one request at a time.
  *
  * <p>The connection is reused only if the response was framed, complete and for the request that
- * was sent, and if nothing else has arrived. Responses to other requests are dropped, as are those
- * that name no request on a connection that has carried others. A response without a length is
+ * was sent, and if nothing else has arrived. Repeated responses to earlier requests are dropped. A
+ * response whose request cannot be told ends the request as failed. A response without a length is
  * complete when the endpoint closes the connection, but not when it resets it.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
@@ -33,6 +35,7 @@
 
     private final EndpointConnectionPool pool;
     private final ReceivedByteCounter receivedBytes;
+    private final AnswerCorrelator correlator = AnswerCorrelator.create();
     private @Nullable Channel channel;
     private @Nullable ResponseListener listener;
     private @Nullable ChannelFuture writeFuture;
@@ -87,6 +90,7 @@
     void send(FullHttpRequest request, String newRequestId, ResponseListener responseListener) {
         requestId = newRequestId;
         requestCount++;
+        correlator.onSent(newRequestId);
         sentNanos = System.nanoTime();
         listener = responseListener;
         headSeen = false;
@@ -144,12 +148,24 @@
             return;
         }
         EndpointAnswer decodedHead = EndpointHeaders.decode(head);
-        if (isForOtherRequest(decodedHead.requestId())) {
-            recordUnexpected(Reaction.DROPPED, head);
-            skippingResponse = true;
-            reusable = false;
-            return;
+        AnswerOwner owner = correlator.ownerOf(decodedHead.requestId());
+        switch (owner) {
+            case CURRENT -> readOwnHead(head, decodedHead);
+            case EARLIER -> {
+                recordUnexpected(Reaction.DROPPED, head);
+                skippingResponse = true;
+                reusable = false;
+            }
+            case UNKNOWN -> {
+                // Waiting on could replace this answer, if it is the request's own, by another.
+                recordUnexpected(Reaction.FAILED, head);
+                fail("answer that may belong to another request, status " + decodedHead.status());
+            }
+            default -> throw new AssertionError(owner);
         }
+    }
+
+    private void readOwnHead(HttpResponse head, EndpointAnswer decodedHead) {
         // A later response on this connection could not be told from a repetition of this one.
         reusable &= decodedHead.requestId() != null;
         if (headSeen) {
@@ -168,14 +184,6 @@
         }
     }
 
-    /**
-     * Returns whether a response belongs to another request. An endpoint may repeat an earlier
-     * response, also without its request id; only the first response on a connection may lack one.
-     */
-    private boolean isForOtherRequest(@Nullable String id) {
-        return id == null ? requestCount > 1 : !id.equals(requestId);
-    }
-
     private void recordUnexpected(Reaction reaction, Object message) {
         int status = 0;
         String seenId = null;
--- a/node/src/test/java/org/carobdoor/node/gateway/RepeatedAnswerTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/RepeatedAnswerTest.java
@@ -1,7 +1,9 @@
 package org.carobdoor.node.gateway;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
 import java.net.http.HttpResponse;
 import org.carobdoor.standins.gateway.CloudStandIn;
 import org.carobdoor.standins.gateway.RawEndpointStandIn;
@@ -11,9 +13,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against endpoints that answer a request twice, so that one of its answers is misused. */
 final class RepeatedAnswerTest {
+    private static final long LATE_MILLIS = 100;
+
     private static final String METRIC = "carobdoor_gateway_unexpected_answers_total";
 
     private StoreStandIn store;
@@ -64,6 +70,45 @@
         return request.header("X-Attempt-Id");
     }
 
+    private static void pause() throws IOException {
+        try {
+            Thread.sleep(LATE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "/safe/a, 500, ''",
+        "/once/a, 500, ''",
+        "/safe/a, 504, ''",
+        "/once/a, 504, ''",
+        "/safe/a, 500, other",
+        "/once/a, 504, other"
+    })
+    void failureThatNamesNoRequestIsNotReplacedByALaterSuccess(String path, int status, String id)
+            throws Exception {
+        try (RawEndpointStandIn endpoint =
+                startEndpoint(
+                        (request, connection) -> {
+                            if (request.number() > 1) {
+                                connection.write(answer(status, id, "failed"));
+                                pause();
+                            }
+                            connection.write(answer(200, idOf(request), "done"));
+                        })) {
+            assertThat(node.post(path, "first").statusCode()).isEqualTo(200);
+            HttpResponse<String> r = node.post(path, "second");
+            assertThat(endpoint.requests().get(1).number()).isEqualTo(2);
+            assertWithMessage("answer of an endpoint that failed first: %s", r.body())
+                    .that(r.statusCode())
+                    .isAtLeast(500);
+            assertThat(r.body()).doesNotContain("not_run");
+        }
+    }
+
     @Test
     void repeatedAnswerToAnEarlierRequestDoesNotEndTheNextOne() throws Exception {
         String[] earlier = {""};
