Stop reusing connections to an endpoint that sends answers of unknown owner

Since an answer that may not be the waiting request's own ends that request. An endpoint that repeats its answers without their ids would so cost every second request on its kept connections, and the failures would become retries, just what BUDGET limits.

After such an answer this node opens a connection for each request to that endpoint for 10 s: on a connection with a single request there is no doubt (core, ConnectionReuse). Repeats that bear an id do not count.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -187,16 +187,19 @@
     private void recordUnexpected(Reaction reaction, Object message) {
         int status = 0;
         String seenId = null;
+        boolean ownerUnknown = false;
         if (message instanceof HttpResponse head && head.decoderResult().isSuccess()) {
             EndpointAnswer answer = EndpointHeaders.decode(head);
             status = answer.status();
             seenId = answer.requestId();
+            ownerUnknown = seenId == null || correlator.ownerOf(seenId) == AnswerOwner.UNKNOWN;
         }
         pool.onUnexpectedAnswer(
                 new UnexpectedAnswer(
                         reaction,
                         status,
                         seenId,
+                        ownerUnknown,
                         requestId,
                         requestCount,
                         (System.nanoTime() - sentNanos) / NANOS_PER_MILLI));
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -13,6 +13,7 @@
 import java.util.Iterator;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import org.carobdoor.internal.request.ConnectionReuse;
 import org.carobdoor.node.gateway.net.Connector;
 import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 
@@ -68,6 +69,7 @@
     private final Runnable openListener;
     private final ResponseBufferLimit bufferLimit;
     private final UnexpectedAnswerListener unexpectedAnswers;
+    private final ConnectionReuse reuse = ConnectionReuse.create();
     private int openCount;
     private int maxOpen;
 
@@ -111,9 +113,13 @@
      */
     void acquire(long maxIdleNanos, AcquireListener listener) {
         long now = System.nanoTime();
+        boolean reusable = reuse.isAllowed(now);
         EndpointConnection c = idle.pollLast();
         while (c != null) {
-            if (c.isOpen() && !c.isIdleExpired(now) && c.idleNanos(now) <= maxIdleNanos) {
+            if (reusable
+                    && c.isOpen()
+                    && !c.isIdleExpired(now)
+                    && c.idleNanos(now) <= maxIdleNanos) {
                 listener.onAcquired(c);
                 return;
             }
@@ -177,7 +183,11 @@
     }
 
     void release(EndpointConnection c) {
-        idle.addLast(c);
+        if (reuse.isAllowed(System.nanoTime())) {
+            idle.addLast(c);
+        } else {
+            c.close();
+        }
     }
 
     void recordActivity() {
@@ -185,6 +195,9 @@
     }
 
     void onUnexpectedAnswer(UnexpectedAnswer answer) {
+        if (answer.ownerUnknown()) {
+            reuse.onUnknownAnswer(System.nanoTime());
+        }
         unexpectedAnswers.onUnexpectedAnswer(answer);
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/UnexpectedAnswer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/UnexpectedAnswer.java
@@ -9,6 +9,7 @@
  * @param reaction what happened to the answer and its connection
  * @param status the HTTP status; 0 if no head could be read
  * @param seenId the request that the answer names, if it names one
+ * @param ownerUnknown whether the head does not tell which request it answers
  * @param expectedId the request last sent on the connection
  * @param requestCount the number of requests sent on the connection
  * @param sinceSentMillis the time since that request was sent, in milliseconds
@@ -17,6 +18,7 @@
         Reaction reaction,
         int status,
         @Nullable String seenId,
+        boolean ownerUnknown,
         String expectedId,
         int requestCount,
         long sinceSentMillis) {
--- a/node/src/test/java/org/carobdoor/node/gateway/RepeatedAnswerTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/RepeatedAnswerTest.java
@@ -145,4 +145,25 @@
             assertThat(unexpectedAnswers("closed")).isEqualTo("3");
         }
     }
+
+    @Test
+    void endpointThatRepeatsAnswersWithoutAnIdCostsFewRequests() throws Exception {
+        try (RawEndpointStandIn endpoint =
+                startEndpoint(
+                        (request, connection) -> {
+                            if (request.number() > 1) {
+                                connection.write(answer(200, "", "repeated"));
+                            }
+                            connection.write(answer(200, idOf(request), "own"));
+                        })) {
+            int failed = 0;
+            for (int i = 0; i < 10; i++) {
+                HttpResponse<String> r = node.post("/once/a", "bid");
+                assertThat(r.body()).isNotEqualTo("repeated");
+                failed += r.statusCode() == 200 ? 0 : 1;
+            }
+            assertThat(endpoint.requests()).hasSize(10);
+            assertThat(failed).isAtMost(1);
+        }
+    }
 }
