Write no body to HEAD requests, whatever answers them

The writer did not know the method of the request: the encoder and the decoder of a caller's connection are separate, and only the length of an answer looked at the method. The encoder now asks for the method of the current request.

--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -165,6 +166,11 @@
         return keepAlive && !requests.isStopping();
     }
 
+    /** Returns whether the response being written answers a HEAD request. */
+    boolean isAnsweringHead() {
+        return exchange != null && exchange.head().method().equals(HttpMethod.HEAD);
+    }
+
     /** Ends the current exchange, whose response has been written. */
     void onResponseWritten(ChannelFuture written) {
         exchange = null;
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -112,7 +111,7 @@
                     new CallerConnectionHandler(CallerServer.this, requests);
             ch.pipeline()
                     .addLast(new StrictRequestDecoder(handler, requests.limits().headerBytes()))
-                    .addLast(new HttpResponseEncoder())
+                    .addLast(new CallerResponseEncoder(handler))
                     .addLast(handler);
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
@@ -93,6 +93,7 @@
             r.headers()
                     .set(HttpHeaderNames.RETRY_AFTER, error.retryAfterMillis() / MILLIS_PER_SECOND);
         }
+        HttpUtil.setContentLength(r, json.readableBytes());
         writeResponse(r);
     }
 
@@ -102,6 +103,9 @@
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, endpointResponse.status(), content);
         EndpointHeaders.copyResponseHeaders(endpointResponse.headers(), r.headers());
+        if (!head.method().equals(HttpMethod.HEAD)) {
+            HttpUtil.setContentLength(r, content.readableBytes());
+        }
         writeResponse(r);
     }
 
@@ -165,10 +169,6 @@
             r.release();
             return;
         }
-        boolean isHeadRequest = head.method().equals(HttpMethod.HEAD);
-        if (!isHeadRequest) {
-            r.headers().set(HttpHeaderNames.CONTENT_LENGTH, r.content().readableBytes());
-        }
         setConnection(r.headers());
         finish();
         handler.onResponseWritten(channel.writeAndFlush(r));
