Pass on answers without a body as whole ones, with their length

On streaming routes, callers got 502 for a sound answer to HEAD or a 204 without a length, since it had ended "before its first event"; an answer to HEAD in chunks was followed by the last chunk, which the caller read as the next answer; one with a length lost it. On plain routes, HEAD answers lost their length, and a 304 got the length 0.

Whether a response ends with its head is now decided in one place, from the method and the status (RFC 9112, 6.3): such answers are no streams, and keep the length that the endpoint states.

--- a/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
@@ -1,5 +1,6 @@
 package org.carobdoor.node.gateway.forward;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
 import org.carobdoor.internal.deployment.Account;
 import org.carobdoor.internal.deployment.Route;
@@ -10,6 +11,7 @@
 import org.carobdoor.message.QuarantineEntry;
 import org.carobdoor.message.RequestFeatures;
 import org.carobdoor.node.gateway.front.Exchange;
+import org.carobdoor.node.gateway.net.MessageFraming;
 
 /**
  * A request with its route, service and account, as determined before an endpoint is selected.
@@ -49,7 +51,10 @@
 
     /** Returns whether a response is relayed event by event. */
     boolean isStream(EndpointAnswer decodedHead) {
-        return route.kind() == RouteKind.STREAMING && decodedHead.isSuccess();
+        return route.kind() == RouteKind.STREAMING
+                && decodedHead.isSuccess()
+                && !MessageFraming.endsWithHead(
+                        exchange.head().method(), HttpResponseStatus.valueOf(decodedHead.status()));
     }
 
     String accountName() {
--- a/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -16,6 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
+import org.carobdoor.node.gateway.net.MessageFraming;
 import org.carobdoor.platform.EndpointHeaders;
 import org.jspecify.annotations.Nullable;
 
@@ -103,8 +103,12 @@
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, endpointResponse.status(), content);
         EndpointHeaders.copyResponseHeaders(endpointResponse.headers(), r.headers());
-        if (!head.method().equals(HttpMethod.HEAD)) {
-            HttpUtil.setContentLength(r, content.readableBytes());
+        long length =
+                MessageFraming.endsWithHead(head.method(), r.status())
+                        ? HttpUtil.getContentLength(endpointResponse, -1L)
+                        : content.readableBytes();
+        if (length >= 0) {
+            HttpUtil.setContentLength(r, length);
         }
         writeResponse(r);
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/net/MessageFraming.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/net/MessageFraming.java
@@ -3,6 +3,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 
@@ -30,4 +32,16 @@
                 && head.protocolVersion().equals(HttpVersion.HTTP_1_1)
                 && !head.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
     }
+
+    /**
+     * Returns whether a final response ends with its head, whatever its headers say (RFC 9112,
+     * section 6.3).
+     *
+     * @param method the method of the request
+     */
+    public static boolean endsWithHead(HttpMethod method, HttpResponseStatus status) {
+        return method.equals(HttpMethod.HEAD)
+                || status.equals(HttpResponseStatus.NO_CONTENT)
+                || status.equals(HttpResponseStatus.NOT_MODIFIED);
+    }
 }
--- a/node/src/test/java/org/carobdoor/node/gateway/BodilessAnswerTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/BodilessAnswerTest.java
@@ -92,6 +92,62 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "HEAD, /once/a, 200, 'HTTP/1.1 200 OK|Content-Length: 11|'",
+        "HEAD, /once/a, 200, 'HTTP/1.1 200 OK|Transfer-Encoding: chunked|'",
+        "HEAD, /once/a, 200, 'HTTP/1.1 200 OK|'",
+        "HEAD, /once/a, 500, 'HTTP/1.1 500 X|Content-Length: 11|'",
+        "HEAD, /llm/a, 200, 'HTTP/1.1 200 OK|Content-Length: 11|'",
+        "HEAD, /llm/a, 200, 'HTTP/1.1 200 OK|Transfer-Encoding: chunked|'",
+        "HEAD, /llm/a, 200, 'HTTP/1.1 200 OK|'",
+        "HEAD, /llm/a, 404, 'HTTP/1.1 404 X|Content-Length: 11|'",
+        "GET, /once/a, 204, 'HTTP/1.1 204 No Content|'",
+        "GET, /once/a, 204, 'HTTP/1.1 204 No Content|Content-Length: 0|'",
+        "GET, /llm/a, 204, 'HTTP/1.1 204 No Content|'",
+        "GET, /llm/a, 204, 'HTTP/1.1 204 No Content|Content-Length: 0|'",
+        "GET, /llm/a, 204, 'HTTP/1.1 103 Early Hints|Link: </a>||HTTP/1.1 204 No Content|'",
+        "GET, /once/a, 205, 'HTTP/1.1 205 Reset Content|Content-Length: 0|'",
+        "GET, /once/a, 205, 'HTTP/1.1 205 Reset Content|Transfer-Encoding: chunked||0|'",
+        "GET, /llm/a, 205, 'HTTP/1.1 205 Reset Content|Content-Length: 0|'",
+        "GET, /llm/a, 205, 'HTTP/1.1 205 Reset Content|Transfer-Encoding: chunked||0|'",
+        "GET, /once/a, 304, 'HTTP/1.1 304 Not Modified|'",
+        "GET, /once/a, 304, 'HTTP/1.1 304 Not Modified|Content-Length: 11|'",
+        "GET, /llm/a, 304, 'HTTP/1.1 304 Not Modified|Content-Length: 11|'"
+    })
+    void answerWithoutABodyIsFollowedByTheNextAnswer(
+            String method, String path, int status, String endpointAnswer) throws IOException {
+        answer = endpointAnswer;
+        try (RawCaller caller = RawCaller.connect(node.callers())) {
+            caller.send(RawCaller.request(method, path, "bodiless-1"));
+            RawCaller.Answer a = caller.read(method);
+            assertThat(a.status()).isEqualTo(status);
+            assertThat(a.body()).isEmpty();
+            assertThat(a.header("X-Attempt-Id")).isEqualTo("bodiless-1");
+            checkNext(caller);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "HEAD, /once/a, 'HTTP/1.1 200 OK|Content-Length: 11|', 11",
+        "HEAD, /llm/a, 'HTTP/1.1 200 OK|Content-Length: 11|', 11",
+        "HEAD, /once/a, 'HTTP/1.1 200 OK|', ''",
+        "HEAD, /once/a, 'HTTP/1.1 200 OK|Transfer-Encoding: chunked|', ''",
+        "GET, /once/a, 'HTTP/1.1 304 Not Modified|Content-Length: 11|', 11",
+        "GET, /once/a, 'HTTP/1.1 304 Not Modified|', ''",
+        "GET, /once/a, 'HTTP/1.1 204 No Content|', ''"
+    })
+    void lengthOfABodyThatIsNotSentIsTheEndpoints(
+            String method, String path, String endpointAnswer, String length) throws IOException {
+        answer = endpointAnswer;
+        try (RawCaller caller = RawCaller.connect(node.callers())) {
+            caller.send(RawCaller.request(method, path, "bodiless-1"));
+            assertThat(caller.read(method).header("Content-Length")).isEqualTo(length);
+            checkNext(caller);
+        }
+    }
+
     private static void checkNext(RawCaller caller) throws IOException {
         for (int i = 0; i < 2; i++) {
             String id = "next-" + i;
