Take interim answers of endpoints for what they are

A HEAD request whose endpoint sent an interim answer first (103) got 504: HttpClientCodec counts each response against a request, the interim one too, and then waits for the body of the one to HEAD. A 101 that nobody asked for ended in 504 as well, since the decoder took what followed for another protocol (by reading, its buffers were not released either).

A connection to an endpoint carries one request at a time, so each response is decoded as one to the last request, and always as HTTP.

Both rows of BodilessAnswerTest failed before: 504 after 2.5 s.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -136,7 +136,7 @@
                         address,
                         CONNECT_TIMEOUT_MILLIS,
                         c.receivedBytes(),
-                        new HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES),
+                        new EndpointCodec(codecConfig()),
                         c);
         future.addListener(
                 (ChannelFutureListener)
@@ -150,6 +150,13 @@
                         });
     }
 
+    private static HttpDecoderConfig codecConfig() {
+        return new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxHeaderSize(MAX_HEAD_BYTES)
+                .setMaxChunkSize(MAX_CHUNK_BYTES);
+    }
+
     /** Attempts to connect, and closes the connection at once. */
     void probe(Consumer<ProbeResult> callback) {
         ChannelFuture future =
