Treat a 205 with a body as a broken answer

The encoder dropped the body and passed on the success. With the body, callers that take a 205 for bodiless would read it as the next answer. resetContentWithABodyIsNotForwarded failed before on the plain route.

--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -37,6 +37,9 @@
     private static final int MAX_LOGGED_PARTS = 8;
     private static final int MAX_URGENCY = 9;
 
+    /** A response with this status has no body; callers differ in whether they read one. */
+    private static final int RESET_CONTENT = 205;
+
     /**
      * Longest idle time of a connection that carries a request which must not be repeated: the
      * endpoint may be closing a connection that has been idle for longer.
@@ -248,6 +251,9 @@
         HttpResponse h = head;
         if (a == null || h == null || closed) {
             content.release();
+        } else if (a.status() == RESET_CONTENT) {
+            content.release();
+            onFailure("body in a response with status 205");
         } else if (call.isStream(a)) {
             listener.onStreamData(h, content);
         } else {
--- a/node/src/test/java/org/carobdoor/node/gateway/BodilessAnswerTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/BodilessAnswerTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against bytes after an answer that has no body by the protocol: its caller would read them
@@ -28,6 +29,7 @@
     private RawEndpointStandIn engine;
     private TestGateway node;
     private volatile String answer = "";
+    private volatile String more = "";
 
     @BeforeEach
     void start() throws InterruptedException {
@@ -61,7 +63,7 @@
             String all = answer.replace("|", "\r\n");
             int end = all.lastIndexOf("HTTP/1.1");
             int line = all.indexOf("\r\n", end) + 2;
-            connection.write(all.substring(0, line) + id + all.substring(line) + "\r\n");
+            connection.write(all.substring(0, line) + id + all.substring(line) + "\r\n" + more);
         }
     }
 
@@ -130,6 +132,18 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"/once/a", "/llm/a"})
+    void resetContentWithABodyIsNotForwarded(String path) throws IOException {
+        answer = "HTTP/1.1 205 Reset Content|Content-Length: 2|";
+        more = "ab";
+        try (RawCaller caller = RawCaller.connect(node.callers())) {
+            caller.send(RawCaller.request("GET", path, "reset-1"));
+            assertThat(caller.read("GET").status()).isEqualTo(502);
+            checkNext(caller);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "HEAD, /once/a, 'HTTP/1.1 200 OK|Content-Length: 11|', 11",
