Send no problem document to HEAD requests of the daemon

The daemon's own interface answered HEAD requests with the text of the problem, which the caller read as the next answer.

--- a/node/src/main/java/org/carobdoor/node/http/ProblemResponder.java
+++ b/node/src/main/java/org/carobdoor/node/http/ProblemResponder.java
@@ -2,6 +2,7 @@
 
 import io.jooby.Context;
 import io.jooby.ErrorHandler;
+import io.jooby.Router;
 import io.jooby.StatusCode;
 import java.nio.charset.StandardCharsets;
 import org.carobdoor.RunState;
@@ -35,7 +36,13 @@
         }
         ctx.setResponseCode(problem.status());
         ctx.setResponseType(Problem.MEDIA_TYPE);
-        ctx.send(problem.toJson().toString().getBytes(StandardCharsets.UTF_8));
+        byte[] body = problem.toJson().toString().getBytes(StandardCharsets.UTF_8);
+        if (ctx.getMethod().equals(Router.HEAD)) {
+            ctx.setResponseLength(body.length);
+            ctx.send(StatusCode.valueOf(problem.status()));
+        } else {
+            ctx.send(body);
+        }
     }
 
     private static Problem problemOf(Throwable cause, StatusCode code) {
