Break a stream that contains the head of another answer

A line that begins like the head of a response is now no event; the stream is broken there, and resumed or cut off like any other.

--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EventBuffer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EventBuffer.java
@@ -9,14 +9,20 @@
 /**
  * Splits a stream of server-sent events into complete events, so that a truncated event is never
  * forwarded, and keeps the id of the last complete one.
+ *
+ * <p>A line that begins like the head of an HTTP response is no event: an endpoint has sent another
+ * response on the connection with which the stream ends. Nothing is taken from there on.
  */
 final class EventBuffer implements AutoCloseable {
     private static final String ID_FIELD = "id:";
+    private static final String RESPONSE_PREFIX = "HTTP/1.";
     private static final String COMMENT_PREFIX = ":";
 
     private final ByteBuf pending;
     private @Nullable String lastId;
     private int scanIndex;
+    private int lineStart;
+    private boolean foreign;
 
     EventBuffer(ByteBufAllocator allocator) {
         pending = allocator.buffer();
@@ -36,7 +42,10 @@
         }
         ByteBuf events = pending.readBytes(end - pending.readerIndex());
         pending.discardSomeReadBytes();
-        scanIndex = pending.readerIndex();
+        if (!foreign) {
+            scanIndex = pending.readerIndex();
+            lineStart = scanIndex;
+        }
         updateLastId(events);
         return events;
     }
@@ -83,6 +92,8 @@
     void discardPartialEvent() {
         pending.clear();
         scanIndex = 0;
+        lineStart = 0;
+        foreign = false;
     }
 
     /** Returns the last id of a complete event; null if none had one. */
@@ -93,9 +104,14 @@
     private int endOfLastEvent() {
         int end = -1;
         // An event ends with an empty line; lines end with LF or CR LF.
-        for (int i = Math.max(scanIndex, pending.readerIndex()); i < pending.writerIndex(); i++) {
-            if (pending.getByte(i) == '\n' && isEmptyLineBefore(i)) {
-                end = i + 1;
+        int start = Math.max(scanIndex, pending.readerIndex());
+        for (int i = start; i < pending.writerIndex() && !foreign; i++) {
+            if (pending.getByte(i) == '\n') {
+                foreign = isResponseHead(lineStart, i);
+                lineStart = i + 1;
+                if (!foreign && isEmptyLineBefore(i)) {
+                    end = i + 1;
+                }
             }
         }
         // The next bytes may complete the last line and with it the event.
@@ -103,6 +119,12 @@
         return end;
     }
 
+    private boolean isResponseHead(int start, int end) {
+        return end - start >= RESPONSE_PREFIX.length()
+                && pending.toString(start, RESPONSE_PREFIX.length(), StandardCharsets.ISO_8859_1)
+                        .equals(RESPONSE_PREFIX);
+    }
+
     private boolean isEmptyLineBefore(int newline) {
         int i = newline - 1;
         if (i >= pending.readerIndex() && pending.getByte(i) == '\r') {
--- a/node/src/test/java/org/carobdoor/node/gateway/forward/EventBufferTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/forward/EventBufferTest.java
@@ -55,4 +55,19 @@
         buffer.discardPartialEvent();
         assertThat(addAndTake("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
     }
+
+    /** Guards against forwarding another response of the endpoint as an event. */
+    @Test
+    void responseHeadSplitAnywhereIsNoEvent() {
+        String event = "id: 1\ndata: HTTP/1.1\n\n";
+        String text = event + "HTTP/1.1 500 X\r\nA: b\r\n\r\nid: 2\ndata: b\n\n";
+        for (int splitIndex = 1; splitIndex < text.length(); splitIndex++) {
+            buffer.discardPartialEvent();
+            String taken =
+                    addAndTake(text.substring(0, splitIndex))
+                            + addAndTake(text.substring(splitIndex));
+            assertThat(taken).isEqualTo(event);
+            assertThat(buffer.isInsideEvent()).isTrue();
+        }
+    }
 }
