Notice that a caller with waiting requests has gone

A caller that sent several requests at once and closed its connection had its second one sent after it had left (GONE): nothing was read behind the first waiting request, so the end of the connection was not seen either. Reading now goes on up to 64 KB.

More requests then wait, and each answer that the node writes itself was written inside the call that wrote the one before: with 3,000 refusals the connection broke. They are now read in a loop.

--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
@@ -35,6 +35,9 @@
 final class CallerConnectionHandler extends ChannelInboundHandlerAdapter {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Bytes of pipelined requests after which no more is read until they are answered. */
+    private static final int MAX_PIPELINED_BYTES = 64 << 10;
+
     private final RequestHandler requests;
     private final CallerServer server;
     private final Deque<HttpObject> pipelinedObjects = new ArrayDeque<>();
@@ -44,6 +47,8 @@
     private @Nullable Exchange exchange;
     private boolean keepAlive = true;
     private boolean inputClosed;
+    private boolean readingPipelined;
+    private int pipelinedBytes;
     private long arrivedNanos;
     private long lastReadNanos;
     private long headStartNanos;
@@ -62,8 +67,11 @@
     }
 
     /** Records that bytes have arrived, before they are decoded. */
-    void onBytesReceived() {
+    void onBytesReceived(int bytes) {
         lastReadNanos = System.nanoTime();
+        if (exchange != null) {
+            pipelinedBytes += bytes;
+        }
         if (headStartNanos == 0 && head == null && exchange == null) {
             headStartNanos = lastReadNanos;
         }
@@ -76,10 +84,12 @@
             return;
         }
         if (exchange != null) {
-            // A pipelined request waits until the current one is answered, and no more is read
-            // meanwhile.
+            // A pipelined request waits until the current one is answered. Reading goes on, since
+            // nothing else shows that the caller has closed the connection.
             pipelinedObjects.add(object);
-            ctx.channel().config().setAutoRead(false);
+            if (pipelinedBytes > MAX_PIPELINED_BYTES) {
+                ctx.channel().config().setAutoRead(false);
+            }
             return;
         }
         read(ctx.channel(), object);
@@ -180,11 +190,23 @@
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        Channel ch = written.channel();
-        while (exchange == null && !pipelinedObjects.isEmpty() && !inputClosed) {
-            read(ch, pipelinedObjects.poll());
+        if (!readingPipelined) {
+            readPipelined(written.channel());
+        }
+    }
+
+    /** Reads what waits, up to a request that is not answered at once. */
+    private void readPipelined(Channel ch) {
+        readingPipelined = true;
+        try {
+            while (exchange == null && !pipelinedObjects.isEmpty() && !inputClosed) {
+                read(ch, pipelinedObjects.poll());
+            }
+        } finally {
+            readingPipelined = false;
         }
         if (exchange == null) {
+            pipelinedBytes = 0;
             ch.config().setAutoRead(true);
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/StrictRequestDecoder.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/StrictRequestDecoder.java
@@ -30,8 +30,8 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) throws Exception {
-        if (msg instanceof ByteBuf) {
-            handler.onBytesReceived();
+        if (msg instanceof ByteBuf bytes) {
+            handler.onBytesReceived(bytes.readableBytes());
         }
         super.channelRead(ctx, msg);
     }
