Play endpoints that stutter in the gateway soak, and check each answer

The soak had only engines that stream, and no check compared an answer with what the endpoint had given.

Beside the engines there is now a plain service with a safe and an unsafe route. In seeded episodes, its endpoints respond twice (with or without the request id, alike or contradicting), fail, hold requests until the deadline, shed them or answer 421. They record what they answered to each arrival. The soak then checks MIXED, TWICE, REFUSED and BUDGET.

GatewayClient now reads through CallerConnection: it dropped the bytes that its buffer held after each answer, and it took a truncated body as whole.

--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewayClient.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewayClient.java
@@ -1,11 +1,7 @@
 package org.carobdoor.bench.faults;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.net.ProtocolException;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
@@ -22,8 +18,6 @@
     private static final long MEAN_PAUSE_MILLIS = 40;
     private static final String COMPLETE_IDS = "1,2,3,4,5";
 
-    private record Answer(int status, String requestId, String body) {}
-
     private static final AtomicLong NEXT_ID = new AtomicLong(1 << 20);
 
     private final GatewayCluster cluster;
@@ -34,7 +28,7 @@
     private final Map<String, Boolean> sentInTouch;
     private final GatewaySoakCounts counts;
     private volatile boolean stopped;
-    private @Nullable Socket socket;
+    private @Nullable CallerConnection connection;
 
     GatewayClient(
             GatewayCluster cluster,
@@ -66,6 +60,9 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
+            } catch (ProtocolException e) {
+                violations.add("MIXED: " + node + " wrote no response: " + e.getMessage());
+                disconnect();
             } catch (IOException e) {
                 // The node was killed, or broke the stream off because an engine crashed.
                 counts.broken.incrementAndGet();
@@ -76,13 +73,11 @@
     }
 
     private void exchange() throws IOException {
-        Socket s = socket;
-        if (s == null || s.isClosed()) {
-            s = new Socket();
-            s.connect(new InetSocketAddress("127.0.0.1", cluster.callerPort(node)), TIMEOUT_MILLIS);
-            s.setSoTimeout(TIMEOUT_MILLIS);
-            s.setTcpNoDelay(true);
-            socket = s;
+        CallerConnection c = connection;
+        if (c == null || !c.isOpen()) {
+            disconnect();
+            c = CallerConnection.open(cluster.callerPort(node), TIMEOUT_MILLIS);
+            connection = c;
         }
         boolean deadly = random.nextDouble() < deadlyShare;
         long own = NEXT_ID.getAndIncrement();
@@ -109,99 +104,50 @@
                         + "X-Token-Counts: 99,10\r\nX-Prompt-Prefix: "
                         + parts
                         + "\r\nContent-Length: 6\r\n\r\nprompt";
-        s.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-        s.getOutputStream().flush();
-        check(id, deadly, readAnswer(new BufferedInputStream(s.getInputStream())));
+        c.send(head);
+        check(id, deadly, c.read());
     }
 
-    private void check(String id, boolean deadly, Answer a) {
-        if (a.status == 200) {
+    private void check(String id, boolean deadly, CallerAnswer a) {
+        if (a.status() == 200) {
             counts.served.incrementAndGet();
             String ids =
                     String.join(
                             ",",
-                            a.body.lines()
+                            a.body()
+                                    .lines()
                                     .filter(l -> l.startsWith("id: "))
                                     .map(l -> l.substring(4))
                                     .toList());
             if (!ids.equals(COMPLETE_IDS)) {
                 violations.add("ORDER: " + id + " got the events " + ids);
             }
-            if (!a.requestId.equals(id)) {
-                violations.add("MIXED: " + id + " got the answer to " + a.requestId);
+            if (!a.requestId().equals(id)) {
+                violations.add("MIXED: " + id + " got the answer to " + a.requestId());
             }
             if (deadly) {
                 violations.add("deadly request " + id + " was answered");
             }
-        } else if (a.status == 503) {
-            if (a.body.contains("quarantined")) {
+        } else if (a.status() == 503) {
+            if (a.body().contains("quarantined")) {
                 (deadly ? counts.quarantined : counts.soundQuarantined).incrementAndGet();
             } else {
                 counts.refused.incrementAndGet();
             }
             if (cluster.hasRun(id)) {
-                violations.add("REFUSED: " + id + " has run and was answered " + a.body);
+                violations.add("REFUSED: " + id + " has run and was answered " + a.body());
             }
         } else {
             counts.failed.incrementAndGet();
         }
     }
 
-    private Answer readAnswer(InputStream in) throws IOException {
-        String head = readUntil(in, "\r\n\r\n");
-        int status = Integer.parseInt(head.substring(9, 12));
-        String body;
-        if (header(head, "transfer-encoding").equals("chunked")) {
-            StringBuilder chunks = new StringBuilder();
-            int size = chunkSize(in);
-            while (size > 0) {
-                chunks.append(new String(in.readNBytes(size), StandardCharsets.UTF_8));
-                in.skipNBytes(2);
-                size = chunkSize(in);
-            }
-            in.skipNBytes(2);
-            body = chunks.toString();
-        } else {
-            int length = Integer.parseInt(header(head, "content-length"));
-            body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
-        }
-        if (header(head, "connection").equals("close")) {
-            disconnect();
-        }
-        return new Answer(status, header(head, "x-attempt-id"), body);
-    }
-
-    private static int chunkSize(InputStream in) throws IOException {
-        return Integer.parseInt(readUntil(in, "\r\n").trim(), 16);
-    }
-
-    private static String header(String head, String name) {
-        return head.lines()
-                .filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
-                .map(l -> l.substring(name.length() + 1).trim())
-                .findFirst()
-                .orElse("");
-    }
-
-    private static String readUntil(InputStream in, String end) throws IOException {
-        StringBuilder text = new StringBuilder();
-        while (text.length() < end.length()
-                || !text.substring(text.length() - end.length()).equals(end)) {
-            int b = in.read();
-            if (b < 0) {
-                throw new IOException("connection closed");
-            }
-            text.append((char) b);
-        }
-        return text.toString();
-    }
-
     private void disconnect() {
-        Socket s = socket;
-        socket = null;
-        if (s != null) {
+        CallerConnection c = connection;
+        connection = null;
+        if (c != null) {
             try {
-                s.close();
+                c.close();
             } catch (IOException e) {
                 counts.broken.incrementAndGet();
             }
--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewayCluster.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewayCluster.java
@@ -14,21 +14,32 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.carobdoor.bench.cluster.ChildProcess;
 import org.carobdoor.standins.FreePorts;
+import org.carobdoor.standins.gateway.AnswerLedger;
 import org.carobdoor.standins.gateway.CloudStandIn;
 import org.carobdoor.standins.gateway.RawEndpointStandIn;
 import org.carobdoor.standins.gateway.StoreStandIn;
+import org.carobdoor.standins.gateway.StutteringEndpoint;
 
 /**
  * Gateways as separate processes, in front of engines that crash when they begin to answer a prompt
- * with {@link #DEADLY_PART}. The store, the cloud API and the engines run in this process.
+ * with {@link #DEADLY_PART}, and in front of a plain service. The store, the cloud API, the engines
+ * and the endpoints of the plain service run in this process.
  */
 final class GatewayCluster implements AutoCloseable {
     /** The part of a prompt that engines crash on. */
     static final String DEADLY_PART = "dead";
 
+    private static final double RETRY_SHARE = 0.2;
+    private static final int SAVED_RETRIES = 50;
+    private static final int RETRY_WINDOW_SECONDS = 10;
+
     /** Time without a disruption after which the bounds hold for a node. */
     static final long CONTACT_NANOS = 3_000_000_000L;
 
+    /** The retry budget of each service, over all nodes. */
+    static final RetryWindowCheck RETRIES =
+            new RetryWindowCheck(RETRY_SHARE, SAVED_RETRIES, RETRY_WINDOW_SECONDS * 1_000_000_000L);
+
     private static final long ENGINE_AWAY_MILLIS = 1_500;
     private static final long ANSWER_DELAY_MILLIS = 30;
     private static final int EVENTS = 5;
@@ -43,8 +54,15 @@
                "maxAttempts":1,"sessionAffinity":true,"streamResumption":false,"gapTargetMs":500},
               {"name":"chat","host":"127.0.0.1","prefix":"/chat/","kind":"streaming",
                "timeoutMs":4000,"latencyTargetMs":600,"priority":0,"service":"llm",
-               "maxAttempts":2,"sessionAffinity":true,"streamResumption":true,"gapTargetMs":500}],
-             "services":[{"name":"llm","healthPath":"/health","maxConnections":400,
+               "maxAttempts":2,"sessionAffinity":true,"streamResumption":true,"gapTargetMs":500},
+              {"name":"lots","host":"127.0.0.1","prefix":"/lots/","kind":"safe",
+               "timeoutMs":2000,"latencyTargetMs":300,"priority":0,"service":"auction",
+               "maxAttempts":3},
+              {"name":"bids","host":"127.0.0.1","prefix":"/bids/","kind":"unsafe",
+               "timeoutMs":2000,"latencyTargetMs":300,"priority":0,"service":"auction",
+               "maxAttempts":2}],
+             "services":[{"name":"auction","healthPath":"/health","maxConnections":400},
+              {"name":"llm","healthPath":"/health","maxConnections":400,
                "engine":{"slots":32,"kvTokens":1000000,"kvBytes":100}}],
              "limits":{"headerBytes":8192,"bodyBytes":100000,"headerTimeoutMs":1000,
               "idleTimeoutMs":15000},
@@ -71,8 +89,9 @@
             [bounds]
             stop_grace = "4s"
             usage_window = "1s"
-            retry_share = 0.2
-            retry_saved = 50
+            retry_share = %s
+            retry_saved = %d
+            retry_window = "%ds"
             """;
 
     private record Arrival(String requestId, long nanos) {}
@@ -81,6 +100,8 @@
     private final StoreStandIn store = StoreStandIn.start();
     private final CloudStandIn cloud = CloudStandIn.start();
     private final List<RawEndpointStandIn> engines = new ArrayList<>();
+    private final AnswerLedger ledger = new AnswerLedger();
+    private final List<StutteringEndpoint> endpoints = new ArrayList<>();
     private final Map<String, ChildProcess> nodes = new ConcurrentHashMap<>();
     private final Map<String, int[]> ports = new ConcurrentHashMap<>();
     private final Map<String, Boolean> run = new ConcurrentHashMap<>();
@@ -96,13 +117,25 @@
         this.runDir = runDir;
     }
 
-    static GatewayCluster start(Path root, Path runDir, int nodeCount, int engineCount)
+    /**
+     * Starts the processes.
+     *
+     * @param endpointCount the number of endpoints of the plain service
+     * @param seed the seed of their behavior
+     */
+    static GatewayCluster start(
+            Path root, Path runDir, int nodeCount, int engineCount, int endpointCount, long seed)
             throws IOException {
         GatewayCluster c = new GatewayCluster(root, runDir);
         c.changeConfiguration();
         for (int i = 0; i < engineCount; i++) {
             c.startEngine("i-" + i);
         }
+        for (int i = 0; i < endpointCount; i++) {
+            StutteringEndpoint e = StutteringEndpoint.start("e-" + i, c.ledger, seed + i);
+            e.register(c.store, "auction");
+            c.endpoints.add(e);
+        }
         for (int i = 0; i < nodeCount; i++) {
             String name = "n" + i;
             c.ports.put(
@@ -198,6 +231,16 @@
         return engines.size();
     }
 
+    /** Returns the endpoints of the plain service. */
+    List<StutteringEndpoint> endpoints() {
+        return List.copyOf(endpoints);
+    }
+
+    /** Returns what the endpoints of the plain service answered. */
+    AnswerLedger ledger() {
+        return ledger;
+    }
+
     int callerPort(String node) {
         return ports.getOrDefault(node, new int[1])[0];
     }
@@ -244,7 +287,10 @@
                         p[2],
                         p[3],
                         store.address().getPort(),
-                        cloud.address().getPort()));
+                        cloud.address().getPort(),
+                        RETRY_SHARE,
+                        SAVED_RETRIES,
+                        RETRY_WINDOW_SECONDS));
         nodes.put(
                 name,
                 ChildProcess.start(
@@ -300,6 +346,7 @@
     public void close() {
         nodes.values().forEach(ChildProcess::close);
         engines.forEach(RawEndpointStandIn::close);
+        endpoints.forEach(StutteringEndpoint::close);
         cloud.close();
         store.close();
         http.close();
--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewayFaults.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewayFaults.java
@@ -19,7 +19,6 @@
     private static final long RELOAD_DURING_START_NANOS = 5_000_000_000L;
 
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(8);
-    private static final long MAX_DELAY_MILLIS = 1_500;
     private static final long MAX_PAUSE_MILLIS = 2_000;
     private static final long MAX_OUTAGE_MILLIS = 3_000;
     private static final long MAX_RESTART_DELAY_MILLIS = 800;
@@ -52,7 +51,7 @@
     }
 
     /** Injects faults for {@code seconds} and waits for the last one to end. */
-    void inject(int seconds) throws InterruptedException {
+    void inject(int seconds, long meanDelayMillis) throws InterruptedException {
         supervisor = Thread.ofVirtual().start(this::superviseNodes);
         List<Thread> active = new ArrayList<>();
         long end = System.nanoTime() + seconds * 1_000_000_000L;
@@ -60,7 +59,7 @@
             Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
             SplittableRandom own = random.split();
             active.add(Thread.ofVirtual().start(() -> run(kind, own)));
-            Thread.sleep(random.nextLong(MAX_DELAY_MILLIS));
+            Thread.sleep(random.nextLong(2 * meanDelayMillis));
         }
         for (Thread t : active) {
             t.join();
--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
@@ -9,12 +9,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.carobdoor.standins.gateway.AnswerLedger;
 
 /**
  * Runs gateways as separate processes in front of engines that crash on one part of a prompt, while
  * nodes are killed, stopped and suspended, the store goes away and engines crash for other reasons.
+ * The endpoints of a plain service beside them respond twice, fail, hold requests and shed them.
  * Exits with status 1 if a guarantee was violated.
  *
  * <pre>
@@ -28,6 +33,9 @@
     private static final int CRASHES_BEFORE_BOUND = 5;
     private static final int MAX_SENDS_AFTER_BOUND = 3;
 
+    private static final Set<String> RULES =
+            Set.of("MIXED", "BUDGET", "TWICE", "REFUSED", "ORDER", "LOST");
+
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(60);
 
     @Parameter(names = "--seed", description = "Seed of the faults; from the clock if not given")
@@ -42,6 +50,15 @@
     @Parameter(names = "--engines", description = "Number of engines")
     private int engines = 12;
 
+    @Parameter(names = "--endpoints", description = "Number of endpoints of the plain service")
+    private int endpoints = 4;
+
+    @Parameter(names = "--plain-clients", description = "Callers of the plain service per node")
+    private int plainClients = 6;
+
+    @Parameter(names = "--fault-delay", description = "Mean time between faults, in milliseconds")
+    private long faultDelay = 750;
+
     @Parameter(names = "--deadly", description = "Share of requests with the deadly part")
     private double deadly = 0.04;
 
@@ -53,6 +70,7 @@
 
     private final Violations violations = new Violations();
     private final GatewaySoakCounts counts = new GatewaySoakCounts();
+    private final PlainTraffic traffic = new PlainTraffic();
 
     /** Whether the node of each deadly request was undisturbed when the request was sent. */
     private final Map<String, Boolean> sentInTouch = new ConcurrentHashMap<>();
@@ -81,7 +99,8 @@
         Path rootDir = Path.of(root).toAbsolutePath().normalize();
         Path runDir = Files.createTempDirectory("carobdoor-gateway-soak");
         System.out.println("seed " + seed + ", " + seconds + " s, logs in " + runDir);
-        try (GatewayCluster cluster = GatewayCluster.start(rootDir, runDir, nodes, engines)) {
+        try (GatewayCluster cluster =
+                GatewayCluster.start(rootDir, runDir, nodes, engines, endpoints, seed)) {
             if (!cluster.awaitReady(READY_TIMEOUT)) {
                 violations.add("the nodes were not ready within " + READY_TIMEOUT);
             }
@@ -103,24 +122,82 @@
                     threads.add(Thread.ofVirtual().start(c));
                 }
             }
-            try (GatewayFaults faults = new GatewayFaults(cluster, random, violations)) {
-                faults.inject(seconds);
+            SplittableRandom plainRandom = new SplittableRandom(seed).split();
+            List<PlainClient> callers = startPlainClients(cluster, plainRandom, threads);
+            try (EndpointEpisodes e =
+                            EndpointEpisodes.start(
+                                    cluster.endpoints(), plainRandom.split(), violations);
+                    GatewayFaults faults = new GatewayFaults(cluster, random, violations)) {
+                faults.inject(seconds, faultDelay);
                 if (!cluster.awaitReady(READY_TIMEOUT)) {
                     violations.add("a node was not ready " + READY_TIMEOUT + " after the faults");
                 }
                 Thread.sleep(2 * GatewayCluster.CONTACT_NANOS / 1_000_000);
             }
             clients.forEach(GatewayClient::stop);
+            callers.forEach(PlainClient::stop);
             for (Thread t : threads) {
                 t.join();
             }
             check(cluster);
+            checkPlainService(cluster);
         }
         List<String> all = violations.all();
-        System.out.println("seed " + seed + ": " + counts + "; " + all.size() + " violations");
+        Map<String, Long> byRule =
+                all.stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        GatewaySoak::rule, TreeMap::new, Collectors.counting()));
+        System.out.println(
+                "seed " + seed + ": " + counts + "; " + all.size() + " violations " + byRule);
         return all.isEmpty();
     }
 
+    private static String rule(String violation) {
+        int end = violation.indexOf(':');
+        return RULES.contains(violation.substring(0, Math.max(end, 0)))
+                ? violation.substring(0, end)
+                : "other";
+    }
+
+    private List<PlainClient> startPlainClients(
+            GatewayCluster cluster, SplittableRandom random, List<Thread> threads) {
+        List<PlainClient> callers = new ArrayList<>();
+        for (String node : cluster.nodeNames()) {
+            for (int i = 0; i < plainClients; i++) {
+                PlainClient c = new PlainClient(cluster, node, violations, random.split(), traffic);
+                callers.add(c);
+                threads.add(Thread.ofVirtual().start(c));
+            }
+        }
+        return callers;
+    }
+
+    private void checkPlainService(GatewayCluster cluster) {
+        AnswerLedger ledger = cluster.ledger();
+        System.out.println(
+                traffic
+                        + "; "
+                        + ledger.size()
+                        + " arrivals, "
+                        + ledger.repeats().size()
+                        + " of them retries");
+        new AnswerCheck(ledger).violations(traffic.exchanges()).forEach(violations::add);
+        List<Long> sent = traffic.exchanges().stream().map(PlainExchange::sentNanos).toList();
+        GatewayCluster.RETRIES
+                .worst(sent, ledger.repeats())
+                .ifPresent(
+                        e ->
+                                violations.add(
+                                        "BUDGET: "
+                                                + e.retries()
+                                                + " retries in the window from "
+                                                + AnswerCheck.wallClock(e.startNanos())
+                                                + ", "
+                                                + e.allowed()
+                                                + " are allowed"));
+    }
+
     private void check(GatewayCluster cluster) {
         List<Long> crashes = cluster.crashes();
         System.out.println(crashes.size() + " engines crashed on a request");
--- /dev/null
+++ b/bench/src/test/java/org/carobdoor/bench/faults/RetryWindowCheckTest.java
@@ -0,0 +1,58 @@
+package org.carobdoor.bench.faults;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a soak that does not notice retries over the budget. */
+final class RetryWindowCheckTest {
+    private static final RetryWindowCheck CHECK = new RetryWindowCheck(0.2, 3, 1_000);
+
+    @Test
+    void retriesWithinTheShareAndTheFixedNumberAreAllowed() {
+        assertThat(CHECK.worst(every(10, -3_000, 3_000), at(0, 23))).isEmpty();
+        assertThat(CHECK.worst(every(10, -3_000, 3_000), at(0, 24))).isPresent();
+    }
+
+    @Test
+    void retriesOfTwoWindowsAreNotAddedUp() {
+        assertThat(CHECK.worst(List.of(), concat(at(0, 3), at(1_000, 3)))).isEmpty();
+    }
+
+    @Test
+    void windowsSlide() {
+        List<Long> retries = concat(at(900, 2), at(1_100, 2));
+        assertThat(CHECK.worst(List.of(), retries)).isPresent();
+    }
+
+    @Test
+    void requestsOfTheWindowBeforeCount() {
+        assertThat(CHECK.worst(every(10, 0, 2_000), at(2_000, 23))).isEmpty();
+        assertThat(CHECK.worst(every(10, 0, 2_000), at(2_000, 24))).isPresent();
+        assertThat(CHECK.worst(every(10, 0, 2_000), at(2_500, 14))).isPresent();
+    }
+
+    @Test
+    void theWorstWindowIsReported() {
+        RetryWindowCheck.Excess e =
+                CHECK.worst(List.of(), concat(at(0, 5), at(5_000, 9))).orElseThrow();
+        assertThat(e.retries()).isEqualTo(9);
+        assertThat(e.allowed()).isEqualTo(3.0);
+    }
+
+    private static List<Long> every(long step, long start, long end) {
+        return LongStream.iterate(start, t -> t < end, t -> t + step).boxed().toList();
+    }
+
+    private static List<Long> at(long time, int count) {
+        return Collections.nCopies(count, time);
+    }
+
+    private static List<Long> concat(List<Long> a, List<Long> b) {
+        return Stream.concat(a.stream(), b.stream()).toList();
+    }
+}
