Name the printed retry window for what it is, and satisfy the linter

"at most N retries" read as the highest count of any window; the line shows the window with the smallest margin to the budget. The linter asked for a default clause in StutteringEndpoint.

--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
@@ -205,7 +205,7 @@
             if (w.isOverBudget()) {
                 violations.add("BUDGET: " + text);
             } else {
-                System.out.println("at most " + text);
+                System.out.println("closest to the retry budget: " + text);
             }
         }
     }
--- a/standins/src/main/java/org/carobdoor/standins/gateway/StutteringEndpoint.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StutteringEndpoint.java
@@ -122,6 +122,7 @@
             case CONTRADICTED -> stutter(connection, named, otherResponse(arrival, true), own);
             case CONTRADICTED_UNNAMED ->
                     stutter(connection, named, otherResponse(arrival, false), own);
+            default -> throw new AssertionError(behavior);
         }
     }
 
