Send each request of the own interface on its own connection

A response that a server sends twice, in one segment or 10 to 300 ms later, was taken for the response to the next request on the pooled connection: OkHttp keeps what follows a response in its buffer and reads it as the next one, and responses do not name their request. A stray success hides the failure of a write, or grants a lease.

SingleAttemptHttpTest, EndlessReplyTest (two), HttpKeyValueStoreTest, CatalogueStoreTest and EngineCallTest pass. A comment of SingleAttemptHttpTest no longer speaks of a pooled connection; its checks are unchanged.

Requests now carry 'Connection: close', after which OkHttp does not use the connection again. EndpointHttp still sets the size of a pool that stays empty. The cost of the connections was not measured.

--- a/clients/src/main/java/org/carobdoor/clients/http/SingleAttemptHttp.java
+++ b/clients/src/main/java/org/carobdoor/clients/http/SingleAttemptHttp.java
@@ -9,7 +9,9 @@
 import okhttp3.Response;
 
 /**
- * Configures OkHttp so that a request is sent at most once.
+ * Configures OkHttp so that a request is sent at most once, on a connection of its own. Responses
+ * do not name their request, so on a shared connection a repeated or late one would be taken for
+ * the response to the next request.
  *
  * <pre>{@code
  * OkHttpClient client = SingleAttemptHttp.newBuilder().build();
@@ -43,7 +45,14 @@
                 .readTimeout(Duration.ZERO)
                 .writeTimeout(Duration.ZERO)
                 .eventListenerFactory(SingleAttemptHttp::newEventListener)
-                .addNetworkInterceptor(chain -> withoutRetryAfter(chain.proceed(chain.request())));
+                .addNetworkInterceptor(
+                        chain ->
+                                withoutRetryAfter(chain.proceed(onOwnConnection(chain.request()))));
+    }
+
+    // OkHttp does not reuse the connection of a request that has this header.
+    private static Request onOwnConnection(Request request) {
+        return request.newBuilder().header("Connection", "close").build();
     }
 
     // OkHttp repeats a request after status 503 with "Retry-After: 0" regardless of
--- a/clients/src/test/java/org/carobdoor/clients/http/SingleAttemptHttpTest.java
+++ b/clients/src/test/java/org/carobdoor/clients/http/SingleAttemptHttpTest.java
@@ -65,8 +65,7 @@
             client.newCall(request(method)).execute().close();
             received.set(0);
             status = 0;
-            // The request is sent on the pooled connection, which is then closed without a
-            // response.
+            // The connection is closed without a response.
             assertThrows(IOException.class, () -> client.newCall(request(method)).execute());
             assertWithMessage(method).that(received.get()).isEqualTo(1);
         }
