Make each call to the platform on its own connection

A connection became idle before the callback of its reply ran, so a call made there took it at once. An interim reply ended a call and left the final one to the next.

The pool is gone; a call's timeout now includes connecting. An exit waits up to 300 ms for the store's reply to the removal of the node's entry, since that call has to connect first.

Calls do not increase; connections equal calls.

--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -50,6 +50,9 @@
      */
     private static final long MIN_SHUTDOWN_NANOS = 3_500_000_000L;
 
+    /** How long the exit waits for the store to remove this node. */
+    private static final long MAX_REMOVAL_MILLIS = 300;
+
     /** The rest of the tolerance is reserved for grants that other nodes have not reported yet. */
     private static final double QUOTA_TOLERANCE_FRACTION = 0.7;
 
@@ -200,14 +203,20 @@
 
     @Override
     public void close() {
+        CountDownLatch removed = new CountDownLatch(1);
         loop.execute(
                 () -> {
-                    controlLoop.close();
+                    controlLoop.stop(removed::countDown);
                     frontServer.close();
                     readinessServer.close();
                     metricsServer.close();
                 });
         network.close();
+        try {
+            boolean unused = removed.await(MAX_REMOVAL_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         group.shutdownGracefully(0, 500, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -29,7 +29,7 @@
  * Synchronizes a node with the store and the other nodes, and runs the duties. Must be used on the
  * event loop.
  */
-public final class ControlLoop implements PeerRegistry.Listener, AutoCloseable {
+public final class ControlLoop implements PeerRegistry.Listener {
     /**
      * The stale limit of the nodes' own keys. They change rarely, no bound depends on them alone,
      * and they are checked when another watch finds its connection silent.
@@ -293,10 +293,12 @@
         }
     }
 
-    @Override
-    public void close() {
-        peers.stop();
-        store.close();
+    /**
+     * Removes this node from the store; {@code onRemoved} runs when the store has replied or is not
+     * going to.
+     */
+    public void stop(Runnable onRemoved) {
+        peers.stop(onRemoved);
     }
 
     private final class ConfigurationListener implements StoreWatch.Listener {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
@@ -118,11 +118,14 @@
         // Retried until the store replies; otherwise the next holder waits for the lease to expire.
         store.revokeLease(
                 lease,
-                () ->
+                replied -> {
+                    if (!replied) {
                         loop.schedule(
                                 () -> revokeLease(lease),
                                 TICK_INTERVAL_MILLIS,
-                                TimeUnit.MILLISECONDS));
+                                TimeUnit.MILLISECONDS);
+                    }
+                });
     }
 
     /** Returns whether this node holds the duties now. */
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -183,12 +183,17 @@
                 new StoreMirrorRequest(mirror.configurationRevision(), mirror.directoryRevision()));
     }
 
-    /** Stops sending statuses, and removes the entry from the store. */
-    void stop() {
+    /**
+     * Stops sending statuses, and removes the entry from the store; {@code onRemoved} runs when the
+     * store has replied or is not going to.
+     */
+    void stop(Runnable onRemoved) {
         stopped = true;
-        if (lease != 0) {
+        if (lease == 0) {
+            onRemoved.run();
+        } else {
             // No retry because the process exits; without a reply the entry expires with its lease.
-            store.revokeLease(lease, () -> {});
+            store.revokeLease(lease, replied -> onRemoved.run());
         }
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -12,14 +13,14 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.node.gateway.net.Connector;
@@ -30,10 +31,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * HTTP client of the platform's store and cloud API. Never retries a call; closes a connection on
- * which a reply does not arrive in time, and all idle ones with it. Must be used on the event loop.
+ * HTTP client of the platform's store and cloud API. Never retries a call. Must be used on the
+ * event loop.
+ *
+ * <p>Each call has its own connection, which is closed after its reply: replies do not name their
+ * call, so on a shared connection a repeated or late one would be taken for the reply to the next.
  */
-final class PlatformClient implements AutoCloseable {
+final class PlatformClient {
     /** The outcome of a call. */
     sealed interface Outcome {
         /** A valid reply arrived, whatever its status. */
@@ -59,10 +63,6 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 700;
     private static final int MAX_REPLY_BYTES = 8 << 20;
 
-    /** The platform may close idle connections; a call on a closed one would fail. */
-    private static final long MAX_IDLE_NANOS = 5_000_000_000L;
-
-    private final Deque<Connection> idleConnections = new ArrayDeque<>();
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final ResponseBufferLimit replyLimit;
@@ -87,82 +87,66 @@
         return callCount;
     }
 
-    /** Makes a call; without a reply it fails after {@code timeoutMillis}. */
+    /**
+     * Makes a call; without a reply it fails after {@code timeoutMillis}, which include the time to
+     * connect.
+     */
     void call(HttpCall call, long timeoutMillis, Callback callback) {
         callCount++;
-        Connection c = pollIdle();
-        if (c != null) {
-            c.send(call, timeoutMillis, callback);
-            return;
-        }
-        Connection newConnection = new Connection();
-        Connector.connect(
-                        loop,
-                        address,
-                        CONNECT_TIMEOUT_MILLIS,
-                        newConnection.receivedBytes,
-                        new HttpClientCodec(),
-                        new HttpObjectAggregator(MAX_REPLY_BYTES),
-                        newConnection)
-                .addListener(
-                        (ChannelFutureListener)
-                                f -> {
-                                    if (f.isSuccess()) {
-                                        newConnection.send(call, timeoutMillis, callback);
-                                    } else {
-                                        callback.completed(
-                                                new Outcome.NotSent(String.valueOf(f.cause())));
-                                    }
-                                });
+        new Connection(call, callback).open(timeoutMillis);
     }
 
-    private @Nullable Connection pollIdle() {
-        long now = System.nanoTime();
-        Connection c = idleConnections.pollLast();
-        while (c != null && (!c.isOpen() || now - c.idleSinceNanos > MAX_IDLE_NANOS)) {
-            c.closeChannel();
-            c = idleConnections.pollLast();
-        }
-        return c;
-    }
-
-    @Override
-    public void close() {
-        idleConnections.forEach(Connection::closeChannel);
-        idleConnections.clear();
-    }
-
-    /** A connection that carries one call at a time. */
+    /** A connection that carries one call. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private final ReceivedByteCounter receivedBytes =
                 new ReceivedByteCounter(
                         replyLimit,
                         () ->
                                 complete(
-                                        new Outcome.NoReply("reply exceeds the memory for replies"),
-                                        false));
+                                        new Outcome.NoReply(
+                                                "reply exceeds the memory for replies")));
 
+        private final HttpCall call;
+        private final Callback callback;
         private @Nullable Channel channel;
-        private @Nullable Callback pendingCallback;
         private @Nullable ScheduledFuture<?> timer;
-        private long idleSinceNanos;
+        private boolean sent;
+        private boolean completed;
+
+        Connection(HttpCall call, Callback callback) {
+            this.call = call;
+            this.callback = callback;
+        }
+
+        void open(long timeoutMillis) {
+            timer = loop.schedule(this::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
+            Connector.connect(
+                            loop,
+                            address,
+                            CONNECT_TIMEOUT_MILLIS,
+                            receivedBytes,
+                            new HttpClientCodec(),
+                            new HttpObjectAggregator(MAX_REPLY_BYTES),
+                            this)
+                    .addListener((ChannelFutureListener) this::connected);
+        }
 
         @Override
         public void handlerAdded(ChannelHandlerContext ctx) {
             channel = ctx.channel();
         }
 
-        boolean isOpen() {
-            return channel != null && channel.isActive();
+        private void connected(ChannelFuture f) {
+            if (completed) {
+                f.channel().close();
+            } else if (f.isSuccess()) {
+                send(f.channel());
+            } else {
+                complete(new Outcome.NotSent(String.valueOf(f.cause())));
+            }
         }
 
-        void send(HttpCall call, long timeoutMillis, Callback callback) {
-            Channel ch = channel;
-            if (ch == null) {
-                callback.completed(new Outcome.NotSent("not connected"));
-                return;
-            }
-            pendingCallback = callback;
+        private void send(Channel ch) {
             FullHttpRequest r =
                     new DefaultFullHttpRequest(
                             HttpVersion.HTTP_1_1,
@@ -171,6 +155,7 @@
                             Unpooled.wrappedBuffer(call.body()));
             r.headers()
                     .set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort())
+                    .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
                     .set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
             if (call.body().length > 0) {
                 r.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
@@ -178,64 +163,52 @@
             for (int i = 0; i + 1 < call.headers().length; i += 2) {
                 r.headers().set(call.headers()[i], call.headers()[i + 1]);
             }
-            timer = loop.schedule(this::timedOut, timeoutMillis, TimeUnit.MILLISECONDS);
+            sent = true;
             ch.writeAndFlush(r);
         }
 
         private void timedOut() {
-            // Idle connections may have gone silent together with this one.
-            idleConnections.forEach(Connection::closeChannel);
-            idleConnections.clear();
-            complete(new Outcome.NoReply("timed out waiting for the reply"), false);
+            complete(
+                    sent
+                            ? new Outcome.NoReply("timed out waiting for the reply")
+                            : new Outcome.NotSent("timed out connecting"));
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse r) {
-            byte[] body = ByteBufUtil.getBytes(r.content());
-            boolean valid = r.decoderResult().isSuccess();
-            boolean keepAlive = valid && HttpUtil.isKeepAlive(r);
-            complete(
-                    valid
-                            ? new Outcome.Replied(new HttpReply(r.status().code(), body))
-                            : new Outcome.NoReply("malformed reply"),
-                    keepAlive);
+            if (!r.decoderResult().isSuccess()) {
+                complete(new Outcome.NoReply("malformed reply"));
+            } else if (r.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+                complete(new Outcome.NoReply("unexpected change of protocol"));
+            } else if (r.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+                byte[] body = ByteBufUtil.getBytes(r.content());
+                complete(new Outcome.Replied(new HttpReply(r.status().code(), body)));
+            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            idleConnections.remove(this);
-            complete(new Outcome.NoReply("connection closed"), false);
+            complete(new Outcome.NoReply("connection closed"));
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            complete(new Outcome.NoReply(cause.toString()), false);
+            complete(new Outcome.NoReply(cause.toString()));
         }
 
-        private void complete(Outcome outcome, boolean keepAlive) {
+        private void complete(Outcome outcome) {
+            if (completed) {
+                return;
+            }
+            completed = true;
             if (timer != null) {
                 timer.cancel(false);
-                timer = null;
-            }
-            Callback callback = pendingCallback;
-            pendingCallback = null;
-            receivedBytes.release();
-            if (keepAlive && callback != null && isOpen()) {
-                idleSinceNanos = System.nanoTime();
-                idleConnections.addLast(this);
-            } else {
-                closeChannel();
             }
-            if (callback != null) {
-                GuardedTask.run("platform callback", () -> callback.completed(outcome), log);
-            }
-        }
-
-        void closeChannel() {
             receivedBytes.close();
             if (channel != null) {
                 channel.close();
             }
+            GuardedTask.run("platform callback", () -> callback.completed(outcome), log);
         }
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
@@ -16,7 +16,7 @@
 import org.carobdoor.platform.StoreReplies;
 
 /** Asynchronous client of the platform's store; callbacks run on the event loop. */
-final class StoreClient implements AutoCloseable {
+final class StoreClient {
     /** The store replies within milliseconds, but on some days takes 50 times as long or more. */
     private static final long CALL_TIMEOUT_MILLIS = 1_500;
 
@@ -88,16 +88,12 @@
                 callback);
     }
 
-    /** Revokes a lease; {@code onNoReply} runs if the store does not reply. */
-    void revokeLease(long lease, Runnable onNoReply) {
+    /** Revokes a lease; the callback receives whether the store has replied. */
+    void revokeLease(long lease, Consumer<Boolean> callback) {
         client.call(
                 StoreCalls.revokeLease(lease),
                 CALL_TIMEOUT_MILLIS,
-                outcome -> {
-                    if (!(outcome instanceof PlatformClient.Outcome.Replied)) {
-                        onNoReply.run();
-                    }
-                });
+                outcome -> callback.accept(outcome instanceof PlatformClient.Outcome.Replied));
     }
 
     private void call(
@@ -119,9 +115,4 @@
                                             new StoreAnswer.Unknown(detail);
                                 }));
     }
-
-    @Override
-    public void close() {
-        client.close();
-    }
 }
--- a/node/src/test/java/org/carobdoor/node/gateway/GracefulStopTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/GracefulStopTest.java
@@ -126,6 +126,13 @@
         }
     }
 
+    @Test
+    void stoppedNodeIsNotListedUntilItsLeaseExpires() throws Exception {
+        TestGateway.await(() -> !store.keys("carobdoor/nodes/").isEmpty());
+        node.close();
+        assertThat(store.keys("carobdoor/nodes/")).isEmpty();
+    }
+
     @Test
     void requestThatCannotBeAnsweredBeforeTheExitIsNotSent() throws Exception {
         answerMillis = 50;
--- a/node/src/test/java/org/carobdoor/node/gateway/control/EndlessPlatformReplyTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/control/EndlessPlatformReplyTest.java
@@ -46,10 +46,10 @@
     void endlessReplyEndsTheCallAndItsMemoryIsReleased(Kind kind) throws Exception {
         EventLoop loop = (EventLoop) group.next();
         long before = heldBytes();
-        try (EndlessResponseStandIn platform = EndlessResponseStandIn.start(kind);
-                PlatformClient client =
-                        new PlatformClient(
-                                loop, platform.address(), MAX_REPLY_BYTES, DecisionLog.create())) {
+        try (EndlessResponseStandIn platform = EndlessResponseStandIn.start(kind)) {
+            PlatformClient client =
+                    new PlatformClient(
+                            loop, platform.address(), MAX_REPLY_BYTES, DecisionLog.create());
             List<CompletableFuture<PlatformClient.Outcome>> outcomes = new ArrayList<>();
             for (int i = 0; i < CALLS; i++) {
                 CompletableFuture<PlatformClient.Outcome> outcome = new CompletableFuture<>();
