Do not join the start of a second answer with the next one (MIXED, REFUSED)

Cause: if an endpoint's second answer was cut off inside its status line or a header, its bytes stayed in the decoder. The connection counted as idle, since only decoded messages closed it, and the next answer was glued on: "HTTP/1.1 200 Some" and "HTTP/1.1 500 ..." make a 200 with the id, the stamp and the body of the failure. Class: input of one answer that survives into the next.

Now a connection is not released while the decoder holds bytes, bytes that arrive on an idle connection close it at the end of the read, whether or not they make a message, and a head with a status line in its reason or in a header value fails the request, which covers bytes that arrive while the next request waits.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointCodec.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointCodec.java
@@ -19,10 +19,17 @@
  */
 final class EndpointCodec
         extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
+    private final Decoder decoder;
     private boolean headRequest;
 
     EndpointCodec(HttpDecoderConfig config) {
-        init(new Decoder(config), new Encoder());
+        decoder = new Decoder(config);
+        init(decoder, new Encoder());
+    }
+
+    /** Returns whether bytes have been received that are not decoded yet. */
+    boolean hasBufferedBytes() {
+        return decoder.hasBufferedBytes();
     }
 
     private final class Encoder extends HttpRequestEncoder {
@@ -41,6 +48,10 @@
             super(config);
         }
 
+        boolean hasBufferedBytes() {
+            return actualReadableBytes() > 0;
+        }
+
         @Override
         protected boolean isContentAlwaysEmpty(HttpMessage msg) {
             return headRequest || super.isContentAlwaysEmpty(msg);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -1,6 +1,7 @@
 package org.carobdoor.node.gateway.endpoint;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -35,6 +36,7 @@
 
     private final EndpointConnectionPool pool;
     private final ReceivedByteCounter receivedBytes;
+    private final EndpointCodec codec;
     private final AnswerCorrelator correlator = AnswerCorrelator.create();
     private @Nullable Channel channel;
     private @Nullable ResponseListener listener;
@@ -50,8 +52,12 @@
     private long maxIdleNanos;
 
     EndpointConnection(
-            EndpointConnectionPool pool, ResponseBufferLimit bufferLimit, long maxIdleNanos) {
+            EndpointConnectionPool pool,
+            EndpointCodec codec,
+            ResponseBufferLimit bufferLimit,
+            long maxIdleNanos) {
         this.pool = pool;
+        this.codec = codec;
         this.receivedBytes =
                 new ReceivedByteCounter(
                         bufferLimit, () -> fail("response exceeds its share of the buffer limit"));
@@ -143,6 +149,11 @@
             fail("response with a transfer coding other than \"chunked\"");
             return;
         }
+        if (MessageFraming.containsStatusLine(head)) {
+            recordUnexpected(Reaction.FAILED, head);
+            fail("head that contains the beginning of another one");
+            return;
+        }
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skippingResponse = true;
             return;
@@ -228,7 +239,10 @@
     private void end(ResponseListener l) {
         listener = null;
         boolean bodySent = writeFuture != null && writeFuture.isSuccess();
-        if (reusable && bodySent && isOpen()) {
+        if (reusable && bodySent && codec.hasBufferedBytes()) {
+            // The connection is closed when the rest has been decoded, at the end of this read.
+            reusable = false;
+        } else if (reusable && bodySent && isOpen()) {
             receivedBytes.release();
             idleSinceNanos = System.nanoTime();
             setReadEnabled(true);
@@ -239,6 +253,15 @@
         l.onEnd();
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        // The start of a head that has arrived on an idle connection would become part of the next.
+        if (listener == null && !broken && receivedBytes.heldBytes() > 0) {
+            recordUnexpected(Reaction.CLOSED, Unpooled.EMPTY_BUFFER);
+            close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         pool.onClosed(this);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -136,17 +136,13 @@
     private void connect(AcquireListener listener) {
         openCount++;
         openListener.run();
+        EndpointCodec codec = new EndpointCodec(codecConfig());
         EndpointConnection c =
                 new EndpointConnection(
-                        this, bufferLimit, usableIdleNanos(DEFAULT_KEEP_ALIVE_MILLIS));
+                        this, codec, bufferLimit, usableIdleNanos(DEFAULT_KEEP_ALIVE_MILLIS));
         ChannelFuture future =
                 Connector.connect(
-                        loop,
-                        address,
-                        CONNECT_TIMEOUT_MILLIS,
-                        c.receivedBytes(),
-                        new EndpointCodec(codecConfig()),
-                        c);
+                        loop, address, CONNECT_TIMEOUT_MILLIS, c.receivedBytes(), codec, c);
         future.addListener(
                 (ChannelFutureListener)
                         f -> {
--- a/node/src/main/java/org/carobdoor/node/gateway/net/MessageFraming.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/net/MessageFraming.java
@@ -4,9 +4,11 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /**
  * Decides whether the head of a message determines where its body ends (RFC 9112, section 6).
@@ -16,6 +18,9 @@
  * message on the connection.
  */
 public final class MessageFraming {
+    private static final String VERSION_PREFIX = "HTTP/1.";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] +[1-5]\\d\\d");
+
     private MessageFraming() {}
 
     /**
@@ -44,4 +49,18 @@
                 || status.equals(HttpResponseStatus.NO_CONTENT)
                 || status.equals(HttpResponseStatus.NOT_MODIFIED);
     }
+
+    /**
+     * Returns whether the reason phrase or a header value contains a status line: the head of one
+     * response was cut off inside that line, and another response follows.
+     */
+    public static boolean containsStatusLine(HttpResponse head) {
+        return containsStatusLine(head.status().reasonPhrase())
+                || head.headers().entries().stream()
+                        .anyMatch(h -> containsStatusLine(h.getValue()));
+    }
+
+    private static boolean containsStatusLine(String text) {
+        return text.contains(VERSION_PREFIX) && STATUS_LINE.matcher(text).find();
+    }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/net/ReceivedByteCounter.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/net/ReceivedByteCounter.java
@@ -26,6 +26,11 @@
         this.onLimitExceeded = onLimitExceeded;
     }
 
+    /** Returns the number of bytes counted since the last release. */
+    public long heldBytes() {
+        return heldBytes;
+    }
+
     /** Releases all counted bytes, which are no longer buffered. */
     public void release() {
         bufferLimit.release(heldBytes);
