Show the retries granted and denied by service, second and cause (BUDGET)

Nothing in the record shows retries: not how many a node granted, nor how many nodes it counted; a denied retry looked like any failure.

Change: each second in which a retry was asked for, a line "retries" by service has the granted and denied ones by cause, the balance and the counted nodes; it is written also when the limit of the log drops other lines. Sends and repeats are counted by service (repeats were one figure), and metrics show the balance and the nodes that share the budgets. repeats above granted retries would be a path that does not ask the budget.

No decision changes. RetryTallyTest; GatewayTest and RetryBudgetsSimulationTest pass (x86-64).

--- a/core/src/main/java/org/carobdoor/internal/retries/RetryBudgets.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryBudgets.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.ObjDoubleConsumer;
 import java.util.function.ObjLongConsumer;
 import java.util.random.RandomGenerator;
 
@@ -52,6 +53,11 @@
         return RetryShare.fixedPart(allowance, nodes);
     }
 
+    /** Returns the number of nodes that share the budgets, including this one. */
+    public int nodes() {
+        return nodes;
+    }
+
     /** Counts a request to {@code service}. */
     public void onRequest(String service, long nowNanos) {
         share(service).onRequest(nowNanos);
@@ -67,6 +73,17 @@
         return taken;
     }
 
+    /** Returns the number of retries that a request to {@code service} could take now. */
+    public double balance(String service, long nowNanos) {
+        RetryShare share = shares.get(service);
+        return share == null ? 0 : share.balance(nowNanos);
+    }
+
+    /** Passes each service that has had a request and its balance to {@code consumer}. */
+    public void eachBalance(long nowNanos, ObjDoubleConsumer<String> consumer) {
+        shares.forEach((service, share) -> consumer.accept(service, share.balance(nowNanos)));
+    }
+
     /**
      * Passes each service and its number of granted retries since the start to {@code consumer}.
      */
--- a/core/src/main/java/org/carobdoor/internal/retries/RetryShare.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryShare.java
@@ -96,6 +96,12 @@
         return taken;
     }
 
+    /** Returns the number of retries that may be taken now. */
+    double balance(long nowNanos) {
+        update(nowNanos);
+        return balance;
+    }
+
     private double maxBalance() {
         return fixedPart * MAX_SAVED_FRACTION + recentRequests * perRequest;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/RetryMetrics.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/RetryMetrics.java
@@ -5,6 +5,7 @@
 /** Writes the metrics of the retry budgets in the Prometheus text format. */
 final class RetryMetrics {
     private static final String RETRIES = "carobdoor_gateway_retries";
+    private static final String BALANCE = "carobdoor_gateway_retry_balance";
 
     private RetryMetrics() {}
 
@@ -15,7 +16,20 @@
         to.append("# TYPE carobdoor_gateway_retries_per_window gauge\n")
                 .append("carobdoor_gateway_retries_per_window ")
                 .append(budgets.fixedRetriesPerWindow())
+                .append("\n# TYPE carobdoor_gateway_retry_nodes gauge\n")
+                .append("carobdoor_gateway_retry_nodes ")
+                .append(budgets.nodes())
                 .append('\n');
+        to.append("# TYPE ").append(BALANCE).append(" gauge\n");
+        budgets.eachBalance(
+                System.nanoTime(),
+                (service, balance) ->
+                        to.append(BALANCE)
+                                .append("{service=\"")
+                                .append(service)
+                                .append("\"} ")
+                                .append(balance)
+                                .append('\n'));
     }
 
     private static void writeCounter(StringBuilder to, String service, String decision, long n) {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -49,6 +49,8 @@
 
     private static final long TICK_INTERVAL_MILLIS = 200;
 
+    private static final long RETRY_SUMMARY_INTERVAL_MILLIS = 1_000;
+
     private static final int STATUS_USAGE_WINDOWS = 4;
 
     private final EventLoop loop;
@@ -161,6 +163,7 @@
             dutyRunner.start();
         }
         GuardedTask.repeat(loop, "control", this::tick, TICK_INTERVAL_MILLIS, log);
+        GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
     }
 
     /** Returns whether the node has the state that it needs to serve requests. */
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -160,7 +160,7 @@
         a.start(
                 e == null ? null : e.lastId(),
                 () -> {
-                    state.counters().recordSend(sends > 0);
+                    state.counters().recordSend(service.name(), sends > 0);
                     sends++;
                     if (route.isRepeatable() && hasAttemptsLeft()) {
                         a.scheduleSlowResponseCheck();
@@ -171,7 +171,7 @@
     /** Retries after a failed attempt if that is allowed; otherwise ends the request. */
     private void retryOrGiveUp(String cause, boolean attemptNotRun) {
         mayHaveRun |= !attemptNotRun;
-        Optional<GiveUpReason> reason = acquireRetry(attemptNotRun);
+        Optional<GiveUpReason> reason = acquireRetry(cause, attemptNotRun);
         if (reason.isPresent()) {
             giveUp(reason.get(), cause);
         } else {
@@ -186,7 +186,7 @@
     }
 
     /** Takes a retry from the budget; returns the reason if a retry is not allowed. */
-    private Optional<GiveUpReason> acquireRetry(boolean attemptNotRun) {
+    private Optional<GiveUpReason> acquireRetry(String cause, boolean attemptNotRun) {
         if (call.trial()) {
             return Optional.of(GiveUpReason.SUSPECT);
         }
@@ -196,7 +196,7 @@
         if (!hasAttemptsLeft()) {
             return Optional.of(GiveUpReason.ATTEMPTS);
         }
-        boolean taken = state.retries().tryTake(service.name(), System.nanoTime());
+        boolean taken = state.tryTakeRetry(service.name(), cause);
         return taken ? Optional.empty() : Optional.of(GiveUpReason.BUDGET);
     }
 
@@ -441,7 +441,7 @@
             fail("not_resumed", 0);
         } else if (decodedHead.isServerError()
                 && hasOtherEndpoint()
-                && acquireRetry(false).isEmpty()) {
+                && acquireRetry("status_" + decodedHead.status(), false).isEmpty()) {
             body.release();
             mayHaveRun = true;
             logRetry("status_" + decodedHead.status());
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -31,6 +31,7 @@
     private final RequestCounters counters = RequestCounters.create();
     private final RandomGenerator random;
     private final RetryBudgets retries;
+    private final RetryTally retryTally = new RetryTally();
     private final RequestQuarantine quarantine;
     private final Map<String, Double> workMillis = new HashMap<>();
     private Optional<Configuration> configuration = Optional.empty();
@@ -192,6 +193,22 @@
         return retries;
     }
 
+    /**
+     * Takes a retry from the budget of a service, and returns whether one was left.
+     *
+     * @param cause why the previous attempt failed
+     */
+    boolean tryTakeRetry(String service, String cause) {
+        boolean taken = retries.tryTake(service, System.nanoTime());
+        retryTally.record(service, cause, taken);
+        return taken;
+    }
+
+    /** Logs the retries that were granted and denied since the last call. */
+    public void logRetries() {
+        retryTally.writeSummary(retries, log, System.nanoTime());
+    }
+
     /** Returns the requests that are not sent because they crash endpoints. */
     public RequestQuarantine quarantine() {
         return quarantine;
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/RequestCounters.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/RequestCounters.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -13,8 +14,8 @@
 
     private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
     private final Histogram latency = new Histogram(MAX_LATENCY_MILLIS, SIGNIFICANT_DIGITS);
-    private long sends;
-    private long retries;
+    private final Map<String, Long> sends = new TreeMap<>();
+    private final Map<String, Long> repeats = new TreeMap<>();
 
     /** Creates counters that start at zero. */
     public static RequestCounters create() {
@@ -28,10 +29,10 @@
         latency.recordValue(Math.clamp(millis, 0, MAX_LATENCY_MILLIS));
     }
 
-    void recordSend(boolean isRetry) {
-        sends++;
-        if (isRetry) {
-            retries++;
+    void recordSend(String service, boolean isRepeat) {
+        sends.merge(service, 1L, Long::sum);
+        if (isRepeat) {
+            repeats.merge(service, 1L, Long::sum);
         }
     }
 
@@ -45,12 +46,9 @@
                     .append(outcomes.getOrDefault(o, 0L))
                     .append('\n');
         }
-        to.append("# TYPE carobdoor_gateway_sends counter\ncarobdoor_gateway_sends_total ")
-                .append(sends)
-                .append("\n# TYPE carobdoor_gateway_repeats counter\n")
-                .append("carobdoor_gateway_repeats_total ")
-                .append(retries)
-                .append("\n# TYPE carobdoor_gateway_latency_ms summary\n");
+        writeByService(to, "carobdoor_gateway_sends", sends);
+        writeByService(to, "carobdoor_gateway_repeats", repeats);
+        to.append("# TYPE carobdoor_gateway_latency_ms summary\n");
         for (double q : new double[] {0.5, 0.9, 0.99}) {
             to.append("carobdoor_gateway_latency_ms{quantile=\"")
                     .append(q)
@@ -62,4 +60,16 @@
                 .append(latency.getTotalCount())
                 .append('\n');
     }
+
+    private static void writeByService(StringBuilder to, String name, Map<String, Long> counts) {
+        to.append("# TYPE ").append(name).append(" counter\n");
+        counts.forEach(
+                (service, n) ->
+                        to.append(name)
+                                .append("_total{service=\"")
+                                .append(service)
+                                .append("\"} ")
+                                .append(n)
+                                .append('\n'));
+    }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/log/DecisionLog.java
@@ -106,12 +106,17 @@
         /** Writes the line, or counts it as dropped if the rate is exceeded. */
         public void write() {
             if (tryAcquire()) {
-                if (droppedSinceLastLine > 0) {
-                    add("left_out", droppedSinceLastLine);
-                    droppedSinceLastLine = 0;
-                }
-                logger.info(singleLine(text));
+                writeSummary();
             }
         }
+
+        /** Writes the line at any rate. For periodic lines, which requests cannot multiply. */
+        public void writeSummary() {
+            if (droppedSinceLastLine > 0) {
+                add("left_out", droppedSinceLastLine);
+                droppedSinceLastLine = 0;
+            }
+            logger.info(singleLine(text));
+        }
     }
 }
