--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -136,9 +136,20 @@
 
     /** Returns the value of a metric without labels. */
     String metric(String name) {
-        String metrics =
-                send(HttpRequest.newBuilder(uri(settings.metrics(), "/metrics")).build()).body();
-        return metrics.replaceAll("(?s).*\n" + name + " (\\S+)\n.*", "$1");
+        return metrics().replaceAll("(?s).*\n" + name + " (\\S+)\n.*", "$1");
+    }
+
+    /** Returns the sum of a counter over the services, of the lines that contain {@code label}. */
+    long total(String name, String label) {
+        return metrics()
+                .lines()
+                .filter(l -> l.startsWith(name + "{") && l.contains(label))
+                .mapToLong(l -> Long.parseLong(l.substring(l.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
+    private String metrics() {
+        return send(HttpRequest.newBuilder(uri(settings.metrics(), "/metrics")).build()).body();
     }
 
     HttpResponse<String> get(String path) {
