--- a/core/src/main/java/org/carobdoor/internal/retries/RetryBudgets.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryBudgets.java
@@ -25,16 +25,19 @@
     private final Map<String, Long> denied = new TreeMap<>();
     private final RetryAllowance allowance;
     private final RandomGenerator random;
-    private final long startNanos;
-    private int nodes = 1;
+    private int nodes;
+    private long nodesKnownAtNanos;
 
     private RetryBudgets(RetryAllowance allowance, RandomGenerator random, long nowNanos) {
         this.allowance = allowance;
         this.random = random;
-        this.startNanos = nowNanos;
+        this.nodesKnownAtNanos = nowNanos;
     }
 
-    /** Returns the budgets of a node that has just started and knows no other node. */
+    /**
+     * Returns the budgets of a node that has just started. They hold only what its requests earn
+     * until the number of nodes is known.
+     */
     public static RetryBudgets create(
             RetryAllowance allowance, RandomGenerator random, long nowNanos) {
         return new RetryBudgets(allowance, random, nowNanos);
@@ -42,6 +45,9 @@
 
     /** Sets the number of nodes that share the budgets, including this one. */
     public void setNodes(int count, long nowNanos) {
+        if (nodes == 0) {
+            nodesKnownAtNanos = nowNanos;
+        }
         nodes = Math.max(1, count);
         shares.values().forEach(s -> s.setNodes(nodes, nowNanos));
     }
@@ -50,10 +56,13 @@
      * Returns the number of retries that this node may send in a window regardless of its requests.
      */
     public double fixedRetriesPerWindow() {
-        return RetryShare.fixedPart(allowance, nodes);
+        return nodes == 0 ? 0 : RetryShare.fixedPart(allowance, nodes);
     }
 
-    /** Returns the number of nodes that share the budgets, including this one. */
+    /**
+     * Returns the number of nodes that share the budgets, including this one; 0 while it is
+     * unknown.
+     */
     public int nodes() {
         return nodes;
     }
@@ -98,6 +107,6 @@
 
     private RetryShare share(String service) {
         return shares.computeIfAbsent(
-                service, s -> new RetryShare(allowance, nodes, random, startNanos));
+                service, s -> new RetryShare(allowance, nodes, random, nodesKnownAtNanos));
     }
 }
--- a/core/src/main/java/org/carobdoor/internal/retries/RetryShare.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryShare.java
@@ -40,16 +40,17 @@
     private long updatedAtNanos;
 
     /**
-     * Creates the share of a node that has just started.
+     * Creates an empty share.
      *
-     * @param startNanos when the node started; nothing is refilled for the time before
+     * @param nodes the number of nodes that share the allowance; 0 while it is unknown
+     * @param startNanos since when it is known; nothing is refilled for the time before
      */
     RetryShare(RetryAllowance allowance, int nodes, RandomGenerator random, long startNanos) {
         this.allowance = allowance;
         this.random = random;
         this.perRequest = allowance.perRequest() / (1 + EARNED_RETENTION_WINDOWS);
         this.nodes = nodes;
-        this.fixedPart = fixedPart(allowance, nodes);
+        this.fixedPart = nodes == 0 ? 0 : fixedPart(allowance, nodes);
         this.updatedAtNanos = startNanos;
     }
 
@@ -59,7 +60,9 @@
      */
     void setNodes(int count, long nowNanos) {
         update(nowNanos);
-        balance *= Math.min(1, (double) nodes / count);
+        if (nodes > 0) {
+            balance *= Math.min(1, (double) nodes / count);
+        }
         nodes = count;
         fixedPart = fixedPart(allowance, count);
         balance = Math.min(balance, maxBalance());
