Divide the fixed retries only when all nodes are counted (BUDGET)

What callers would see: more repeats than the budget of all nodes after a loss of the store.

Cause: leases expire while the store is away. A node that restarts meanwhile reads the list as soon as the store is back, finds no other node, and takes the fixed part of a group of one: 43 retries a window instead of 6 with seven nodes, until it learns of the others, or for longer if the store goes away again. Class: "not found yet" taken for "does not exist".

Change: NodeCensus. The fixed part is granted only after the store has renewed the node's own lease, which other nodes' registrations precede; before that a node retries with what its requests earn. At the first start of the cluster (bootstrap in the platform's fields, node.first_start) the list is complete.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -12,6 +12,7 @@
 import org.carobdoor.internal.duty.ClusterClock;
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
+import org.carobdoor.internal.peers.NodeCensus;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
@@ -106,6 +107,7 @@
                         settings.zone(),
                         this::ownStatus,
                         this::isDirectoryStale,
+                        NodeCensus.create(settings.firstStart()),
                         this,
                         log);
         quarantineSync =
@@ -236,7 +238,7 @@
         state.endpoints().closeIdleConnections(now);
         state.endpoints().setUnreachableZones(peers.silentZones());
         if (nodeListLoaded) {
-            state.setNodes(peers.nodeCount(), now);
+            state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), now);
         }
         state.setClock(clock.millis(now), now);
         recentUsageWindows().forEach(w -> usage.report(run, w.window(), w.counts()));
@@ -371,7 +373,7 @@
             quarantineSync.loaded(items, revision);
             peers.replaceListed(runs);
             nodeListLoaded = true;
-            state.setNodes(peers.nodeCount(), System.nanoTime());
+            state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), System.nanoTime());
             for (String key : List.of(NodeStoreKeys.DUTY_HOLDER, NodeStoreKeys.REPORTED_USAGE)) {
                 if (!keys.contains(key)) {
                     keyMissing(key, revision);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -14,10 +14,10 @@
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.NodeId;
 import org.carobdoor.internal.peers.MirrorPeers;
+import org.carobdoor.internal.peers.NodeCensus;
 import org.carobdoor.internal.peers.PeerRuns;
 import org.carobdoor.internal.peers.StatusExchange;
 import org.carobdoor.internal.peers.StatusInterval;
-import org.carobdoor.internal.quota.RecentNodeCounter;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.PeerMessage;
@@ -78,7 +78,7 @@
     private final Listener listener;
     private final DecisionLog log;
     private final Map<NodeId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
-    private final RecentNodeCounter recentNodeCounter = RecentNodeCounter.create();
+    private final NodeCensus census;
     private final PeerRuns peerRuns;
     private final StatusExchange exchange;
     private final MirrorPeers mirrorPeers = MirrorPeers.create(RandomGenerator.getDefault());
@@ -101,6 +101,7 @@
             AvailabilityZone ownZone,
             Supplier<NodeStatus> status,
             BooleanSupplier directoryStale,
+            NodeCensus census,
             Listener listener,
             DecisionLog log) {
         this.loop = loop;
@@ -114,6 +115,7 @@
         this.exchange = StatusExchange.create(run, ownZone, System.nanoTime());
         this.ownStatus = status;
         this.directoryStale = directoryStale;
+        this.census = census;
         this.listener = listener;
         this.log = log;
         network.setAddressResolver(id -> Optional.ofNullable(addresses.get(id)));
@@ -241,7 +243,12 @@
 
     /** Returns the number of nodes that may be serving, including this one. */
     int nodeCount() {
-        return recentNodeCounter.count(peerRuns.nodeNames(), System.nanoTime());
+        return census.count(peerRuns.nodeNames(), System.nanoTime());
+    }
+
+    /** Returns whether {@link #nodeCount} includes all nodes that served when this one started. */
+    boolean isNodeCountComplete() {
+        return census.isComplete();
     }
 
     /** Returns whether every other node has sent a status recently. */
@@ -345,8 +352,10 @@
                 lease,
                 answer -> {
                     switch (answer) {
-                        case StoreAnswer.LeaseGranted l ->
-                                schedule(this::renew, RENEW_INTERVAL_MILLIS);
+                        case StoreAnswer.LeaseGranted l -> {
+                            census.recordRenewed();
+                            schedule(this::renew, RENEW_INTERVAL_MILLIS);
+                        }
                         case StoreAnswer.Missing missing -> register();
                         default -> schedule(this::renew, RETRY_DELAY_MILLIS);
                     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -108,14 +108,21 @@
         return ready;
     }
 
-    /** Sets the number of nodes that share quotas, retry budgets and connections. */
-    public void setNodes(int count, long nowNanos) {
-        if (count == nodeCount) {
+    /**
+     * Sets the number of nodes that share quotas, retry budgets and connections.
+     *
+     * @param complete whether all nodes are counted; the retry budgets are not divided before
+     */
+    public void setNodes(int count, boolean complete, long nowNanos) {
+        boolean shareRetries = complete && retries.nodes() != count;
+        if (count == nodeCount && !shareRetries) {
             return;
         }
         nodeCount = count;
         accountQuotas.setNodes(count, nowNanos);
-        retries.setNodes(count, nowNanos);
+        if (shareRetries) {
+            retries.setNodes(count, nowNanos);
+        }
         log.line("nodes.counted")
                 .add("nodes", count)
                 .add(
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettings.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettings.java
@@ -10,6 +10,7 @@
  *
  * @param name the name of the VM
  * @param zone its availability zone
+ * @param firstStart whether the whole cluster starts for the first time
  * @param callers the listen address for callers
  * @param readiness the listen address for the platform's readiness checks
  * @param peer the listen address for other nodes
@@ -24,6 +25,7 @@
 public record GatewaySettings(
         String name,
         AvailabilityZone zone,
+        boolean firstStart,
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress peer,
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -46,6 +46,7 @@
         return new GatewaySettings(
                 name,
                 SettingsFile.zone(node),
+                node.bool("first_start", false),
                 listen.address("callers"),
                 listen.address("readiness"),
                 listen.address("peer"),
--- a/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/GatewayTest.java
@@ -148,6 +148,16 @@
         assertThat(first.arrivals() + second.arrivals()).isAtMost(requests + requests / 5);
     }
 
+    @Test
+    void restartedNodeHasNoFixedRetriesUntilAllNodesAreListed() throws InterruptedException {
+        try (TestGateway restarted = TestGateway.startAgain("n2", store, cloud)) {
+            TestGateway.await(restarted::isReady);
+            assertThat(restarted.metric("carobdoor_gateway_retries_per_window")).isEqualTo("0.0");
+            TestGateway.await(
+                    () -> !restarted.metric("carobdoor_gateway_retries_per_window").equals("0.0"));
+        }
+    }
+
     @Test
     void streamArrivesCompletely() {
         HttpResponse<String> r = node.post("/llm/a", "prompt");
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -46,6 +46,7 @@
             [node]
             name = "%s"
             availability_zone = "a"
+            first_start = %s
             [listen]
             callers = "127.0.0.1:%d"
             readiness = "127.0.0.1:%d"
@@ -90,13 +91,28 @@
         return start(name, store.address(), cloud, savedRetries);
     }
 
+    /** Starts a node of a cluster that has been running before. */
+    static TestGateway startAgain(String name, StoreStandIn store, CloudStandIn cloud) {
+        return start(name, false, store.address(), cloud, INITIAL_RETRIES);
+    }
+
     /** Starts a node that reaches the store at {@code store}. */
     static TestGateway start(
             String name, InetSocketAddress store, CloudStandIn cloud, int savedRetries) {
+        return start(name, true, store, cloud, savedRetries);
+    }
+
+    private static TestGateway start(
+            String name,
+            boolean firstStart,
+            InetSocketAddress store,
+            CloudStandIn cloud,
+            int savedRetries) {
         String text =
                 String.format(
                         SETTINGS,
                         name,
+                        firstStart,
                         FreePorts.next(),
                         FreePorts.next(),
                         FreePorts.next(),
