--- a/core/src/main/java/org/carobdoor/internal/retries/RetryBudgets.java
+++ b/core/src/main/java/org/carobdoor/internal/retries/RetryBudgets.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.ObjDoubleConsumer;
 import java.util.function.ObjLongConsumer;
 import java.util.random.RandomGenerator;
 
@@ -24,16 +25,19 @@
     private final Map<String, Long> denied = new TreeMap<>();
     private final RetryAllowance allowance;
     private final RandomGenerator random;
-    private final long startNanos;
-    private int nodes = 1;
+    private int nodes;
+    private long nodesKnownAtNanos;
 
     private RetryBudgets(RetryAllowance allowance, RandomGenerator random, long nowNanos) {
         this.allowance = allowance;
         this.random = random;
-        this.startNanos = nowNanos;
+        this.nodesKnownAtNanos = nowNanos;
     }
 
-    /** Returns the budgets of a node that has just started and knows no other node. */
+    /**
+     * Returns the budgets of a node that has just started. They hold only what its requests earn
+     * until the number of nodes is known.
+     */
     public static RetryBudgets create(
             RetryAllowance allowance, RandomGenerator random, long nowNanos) {
         return new RetryBudgets(allowance, random, nowNanos);
@@ -41,6 +45,9 @@
 
     /** Sets the number of nodes that share the budgets, including this one. */
     public void setNodes(int count, long nowNanos) {
+        if (nodes == 0) {
+            nodesKnownAtNanos = nowNanos;
+        }
         nodes = Math.max(1, count);
         shares.values().forEach(s -> s.setNodes(nodes, nowNanos));
     }
@@ -49,7 +56,15 @@
      * Returns the number of retries that this node may send in a window regardless of its requests.
      */
     public double fixedRetriesPerWindow() {
-        return RetryShare.fixedPart(allowance, nodes);
+        return nodes == 0 ? 0 : RetryShare.fixedPart(allowance, nodes);
+    }
+
+    /**
+     * Returns the number of nodes that share the budgets, including this one; 0 while it is
+     * unknown.
+     */
+    public int nodes() {
+        return nodes;
     }
 
     /** Counts a request to {@code service}. */
@@ -67,6 +82,17 @@
         return taken;
     }
 
+    /** Returns the number of retries that a request to {@code service} could take now. */
+    public double balance(String service, long nowNanos) {
+        RetryShare share = shares.get(service);
+        return share == null ? 0 : share.balance(nowNanos);
+    }
+
+    /** Passes each service that has had a request and its balance to {@code consumer}. */
+    public void eachBalance(long nowNanos, ObjDoubleConsumer<String> consumer) {
+        shares.forEach((service, share) -> consumer.accept(service, share.balance(nowNanos)));
+    }
+
     /**
      * Passes each service and its number of granted retries since the start to {@code consumer}.
      */
@@ -81,6 +107,6 @@
 
     private RetryShare share(String service) {
         return shares.computeIfAbsent(
-                service, s -> new RetryShare(allowance, nodes, random, startNanos));
+                service, s -> new RetryShare(allowance, nodes, random, nodesKnownAtNanos));
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -12,6 +12,7 @@
 import org.carobdoor.internal.duty.ClusterClock;
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
+import org.carobdoor.internal.peers.NodeCensus;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
@@ -49,6 +50,8 @@
 
     private static final long TICK_INTERVAL_MILLIS = 200;
 
+    private static final long RETRY_SUMMARY_INTERVAL_MILLIS = 1_000;
+
     private static final int STATUS_USAGE_WINDOWS = 4;
 
     private final EventLoop loop;
@@ -104,6 +107,7 @@
                         settings.zone(),
                         this::ownStatus,
                         this::isDirectoryStale,
+                        NodeCensus.create(settings.firstStart()),
                         this,
                         log);
         quarantineSync =
@@ -161,6 +165,7 @@
             dutyRunner.start();
         }
         GuardedTask.repeat(loop, "control", this::tick, TICK_INTERVAL_MILLIS, log);
+        GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
     }
 
     /** Returns whether the node has the state that it needs to serve requests. */
@@ -233,7 +238,7 @@
         state.endpoints().closeIdleConnections(now);
         state.endpoints().setUnreachableZones(peers.silentZones());
         if (nodeListLoaded) {
-            state.setNodes(peers.nodeCount(), now);
+            state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), now);
         }
         state.setClock(clock.millis(now), now);
         recentUsageWindows().forEach(w -> usage.report(run, w.window(), w.counts()));
@@ -370,7 +375,7 @@
             quarantineSync.loaded(items, revision);
             peers.replaceListed(runs);
             nodeListLoaded = true;
-            state.setNodes(peers.nodeCount(), System.nanoTime());
+            state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), System.nanoTime());
             for (String key : List.of(NodeStoreKeys.DUTY_HOLDER, NodeStoreKeys.REPORTED_USAGE)) {
                 if (!keys.contains(key)) {
                     keyMissing(key, revision);
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -46,6 +46,7 @@
             [node]
             name = "%s"
             availability_zone = "a"
+            first_start = %s
             [listen]
             callers = "127.0.0.1:%d"
             readiness = "127.0.0.1:%d"
@@ -90,13 +91,28 @@
         return start(name, store.address(), cloud, savedRetries);
     }
 
+    /** Starts a node of a cluster that has been running before. */
+    static TestGateway startAgain(String name, StoreStandIn store, CloudStandIn cloud) {
+        return start(name, false, store.address(), cloud, INITIAL_RETRIES);
+    }
+
     /** Starts a node that reaches the store at {@code store}. */
     static TestGateway start(
             String name, InetSocketAddress store, CloudStandIn cloud, int savedRetries) {
+        return start(name, true, store, cloud, savedRetries);
+    }
+
+    private static TestGateway start(
+            String name,
+            boolean firstStart,
+            InetSocketAddress store,
+            CloudStandIn cloud,
+            int savedRetries) {
         String text =
                 String.format(
                         SETTINGS,
                         name,
+                        firstStart,
                         FreePorts.next(),
                         FreePorts.next(),
                         FreePorts.next(),
@@ -136,9 +152,20 @@
 
     /** Returns the value of a metric without labels. */
     String metric(String name) {
-        String metrics =
-                send(HttpRequest.newBuilder(uri(settings.metrics(), "/metrics")).build()).body();
-        return metrics.replaceAll("(?s).*\n" + name + " (\\S+)\n.*", "$1");
+        return metrics().replaceAll("(?s).*\n" + name + " (\\S+)\n.*", "$1");
+    }
+
+    /** Returns the sum of a counter over the services, of the lines that contain {@code label}. */
+    long total(String name, String label) {
+        return metrics()
+                .lines()
+                .filter(l -> l.startsWith(name + "{") && l.contains(label))
+                .mapToLong(l -> Long.parseLong(l.substring(l.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
+    private String metrics() {
+        return send(HttpRequest.newBuilder(uri(settings.metrics(), "/metrics")).build()).body();
     }
 
     HttpResponse<String> get(String path) {
