Count connections that are closed as closed at once

A pool counted a connection as open until its channel reported the close, a moment later. A request that closed idle connections as too old, and found the limit reached by them, was told "all N connections are in use": the endpoint counted as unreachable, was ejected, and the request went to another one outside the retry budget.

EndpointConnectionPoolTest failed before ("all 2 connections are in use").

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -112,13 +112,20 @@
     /** Closes the connection without notifying the listener. */
     void close() {
         listener = null;
-        broken = true;
         receivedBytes.close();
+        markBroken();
         if (channel != null) {
             channel.close();
         }
     }
 
+    private void markBroken() {
+        if (!broken) {
+            broken = true;
+            pool.onClosed(this);
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
         pool.recordActivity();
@@ -264,7 +271,6 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        pool.onClosed(this);
         failLost("connection closed before the end of the response");
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -149,7 +149,7 @@
                             if (f.isSuccess()) {
                                 listener.onAcquired(c);
                             } else {
-                                openCount--;
+                                c.close();
                                 listener.onFailure("cannot connect: " + f.cause());
                             }
                         });
