Close connections that are released after their endpoint was removed

A connection that carried a request while its endpoint was removed from the table was put among the idle ones of the closed pool, which nothing looks at any more, and stayed open until the endpoint closed it.

EndpointConnectionPoolTest: openCount was 1 before, is 0 now.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -72,6 +72,7 @@
     private final ConnectionReuse reuse = ConnectionReuse.create();
     private int openCount;
     private int maxOpen;
+    private boolean closed;
 
     EndpointConnectionPool(
             EventLoop loop,
@@ -186,7 +187,7 @@
     }
 
     void release(EndpointConnection c) {
-        if (reuse.isAllowed(System.nanoTime())) {
+        if (!closed && reuse.isAllowed(System.nanoTime())) {
             idle.addLast(c);
         } else {
             c.close();
@@ -224,6 +225,7 @@
     /** Closes the idle connections; those in use are closed after their responses. */
     @Override
     public void close() {
+        closed = true;
         for (EndpointConnection c : idle.toArray(EndpointConnection[]::new)) {
             c.close();
         }
--- a/node/src/test/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPoolTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPoolTest.java
@@ -94,4 +94,16 @@
             assertThat(openCount()).isEqualTo(0);
         }
     }
+
+    @Test
+    void connectionThatIsReleasedAfterItsEndpointWasRemovedIsClosed() throws Exception {
+        EndpointConnection c = acquire(Long.MAX_VALUE);
+        loop.submit(
+                        () -> {
+                            pool.close();
+                            pool.release(c);
+                        })
+                .sync();
+        assertThat(openCount()).isEqualTo(0);
+    }
 }
