--- a/node/src/main/java/org/carobdoor/node/endpoint/EndpointHttp.java
+++ b/node/src/main/java/org/carobdoor/node/endpoint/EndpointHttp.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import okhttp3.Call;
-import okhttp3.ConnectionPool;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
 import okhttp3.Response;
@@ -21,10 +20,6 @@
  * }</pre>
  */
 public final class EndpointHttp implements AutoCloseable {
-    // One idle connection each for the endpoints of one availability zone at the planned size.
-    private static final int MAX_IDLE_CONNECTIONS = 150;
-    private static final int IDLE_MINUTES = 2;
-
     private final OkHttpClient client;
 
     private EndpointHttp(OkHttpClient client) {
@@ -43,9 +38,6 @@
                         .connectTimeout(connectTimeout)
                         .readTimeout(progressTimeout)
                         .writeTimeout(progressTimeout)
-                        .connectionPool(
-                                new ConnectionPool(
-                                        MAX_IDLE_CONNECTIONS, IDLE_MINUTES, TimeUnit.MINUTES))
                         .build();
         return new EndpointHttp(client);
     }
