Close connections on which the start of an answer follows a stream

Bytes after a stream that was passed on no longer counted as received, so a connection with the beginning of a second answer was neither used again nor closed. Fifty such streams used up the connections to an engine: 503 no_endpoint until the engine closed them.

--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -48,6 +48,10 @@
     private boolean skippingResponse;
     private boolean reusable = true;
     private boolean broken;
+
+    /** Whether bytes followed the last response, so that the connection closes after this read. */
+    private boolean moreReceived;
+
     private long idleSinceNanos;
     private long maxIdleNanos;
 
@@ -247,8 +251,7 @@
         listener = null;
         boolean bodySent = writeFuture != null && writeFuture.isSuccess();
         if (reusable && bodySent && codec.hasBufferedBytes()) {
-            // The connection is closed when the rest has been decoded, at the end of this read.
-            reusable = false;
+            moreReceived = true;
         } else if (reusable && bodySent && isOpen()) {
             receivedBytes.release();
             idleSinceNanos = System.nanoTime();
@@ -263,7 +266,8 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         // The start of a head that has arrived on an idle connection would become part of the next.
-        if (listener == null && !broken && receivedBytes.heldBytes() > 0) {
+        boolean unread = moreReceived || receivedBytes.heldBytes() > 0;
+        if (listener == null && !broken && unread) {
             recordUnexpected(Reaction.CLOSED, Unpooled.EMPTY_BUFFER);
             close();
         }
--- a/node/src/test/java/org/carobdoor/node/gateway/CutRepeatedAnswerTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/CutRepeatedAnswerTest.java
@@ -11,6 +11,7 @@
 import org.carobdoor.standins.gateway.StoreStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -21,6 +22,9 @@
 final class CutRepeatedAnswerTest {
     private static final long LATE_MILLIS = 5;
 
+    /** At least the connections that a node opens to an engine of the test configuration. */
+    private static final int MAX_CONNECTIONS = 50;
+
     /** When the cut answer is sent. */
     private enum Moment {
         WITH_THE_ANSWER_BEFORE,
@@ -105,6 +109,32 @@
         }
     }
 
+    @Test
+    void streamsThatAreFollowedByACutAnswerUseUpNoConnections() throws Exception {
+        String event = "id: 1\ndata: a\n\n";
+        try (RawEndpointStandIn engine =
+                RawEndpointStandIn.start(
+                        (request, connection) ->
+                                connection.write(
+                                        "HTTP/1.1 200 OK\r\nX-Attempt-Id: "
+                                                + request.header("X-Attempt-Id")
+                                                + "\r\nX-Server-Stamp: s\r\n"
+                                                + "Content-Type: text/event-stream\r\n"
+                                                + "Content-Length: "
+                                                + event.length()
+                                                + "\r\n\r\n"
+                                                + event
+                                                + "HTTP/1.1 20"))) {
+            engine.register(store, "i-1", "llm");
+            node = TestGateway.start("n1", store, cloud);
+            TestGateway.await(node::isReady);
+            for (int i = 0; i <= MAX_CONNECTIONS; i++) {
+                HttpResponse<String> r = node.post("/llm/a", "prompt");
+                assertWithMessage("stream %s: %s", i, r.body()).that(r.body()).isEqualTo(event);
+            }
+        }
+    }
+
     private void respond(
             Request request,
             RawEndpointStandIn.Connection connection,
