Take no request between the last idle check of a stopping node and its exit (LOST)

Now the callers' connections are closed in the same step that finds them idle, so nothing is read that cannot be answered. The wait for the store is at most 150 ms, less than the time kept before the end of the grace period.

--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -51,7 +51,7 @@
     private static final long MIN_SHUTDOWN_NANOS = 3_500_000_000L;
 
     /** How long the exit waits for the store to remove this node. */
-    private static final long MAX_REMOVAL_MILLIS = 300;
+    private static final long MAX_REMOVAL_MILLIS = 150;
 
     /** The rest of the tolerance is reserved for grants that other nodes have not reported yet. */
     private static final double QUOTA_TOLERANCE_FRACTION = 0.7;
@@ -154,7 +154,7 @@
         while (true) {
             TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MILLIS);
             long now = System.nanoTime();
-            boolean finished = now - start >= MIN_SHUTDOWN_NANOS && isIdle();
+            boolean finished = now - start >= MIN_SHUTDOWN_NANOS && closeIfIdle();
             if (finished || now - admission.exitAtNanos() >= 0) {
                 break;
             }
@@ -162,12 +162,13 @@
         loop.execute(() -> log.line("node.stopped").add("open", forwarder.openCalls()).write());
     }
 
-    private boolean isIdle() throws InterruptedException {
+    /** Closes the callers' connections if no request is open, so that none is taken any more. */
+    private boolean closeIfIdle() throws InterruptedException {
         CountDownLatch answered = new CountDownLatch(1);
         boolean[] idle = {false};
         loop.execute(
                 () -> {
-                    idle[0] = forwarder.openCalls() == 0 && frontServer.busyCount() == 0;
+                    idle[0] = forwarder.openCalls() == 0 && frontServer.closeIfIdle();
                     answered.countDown();
                 });
         return answered.await(1, TimeUnit.SECONDS) && idle[0];
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
@@ -232,6 +232,12 @@
         }
     }
 
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
     boolean isBusy() {
         return exchange != null || head != null;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
@@ -77,6 +77,20 @@
         return connections.stream().filter(CallerConnectionHandler::isBusy).count();
     }
 
+    /**
+     * Closes the listener and all connections, unless one of them has an unfinished request.
+     *
+     * @return whether they are closed
+     */
+    public boolean closeIfIdle() {
+        if (busyCount() > 0) {
+            return false;
+        }
+        close();
+        List.copyOf(connections).forEach(CallerConnectionHandler::close);
+        return true;
+    }
+
     void addConnection(CallerConnectionHandler h) {
         connections.add(h);
     }
