--- a/core/src/main/java/org/carobdoor/internal/request/ConnectionReuse.java
+++ b/core/src/main/java/org/carobdoor/internal/request/ConnectionReuse.java
@@ -3,10 +3,10 @@
 /**
  * Decides whether connections to one endpoint carry more than one request.
  *
- * <p>An endpoint that has sent an answer which no request can be told for is likely to do so again,
- * and each such answer costs the request that waits on its connection. On a connection for a single
- * request there is no doubt, so none is reused for some time. Times are in nanoseconds of a
- * monotonic clock. Not thread-safe.
+ * <p>An endpoint that has sent an answer of unknown owner is likely to do so again, and each such
+ * answer costs the request that waits on its connection. On a connection for a single request there
+ * is no doubt, so none is reused for some time. Times are in nanoseconds of a monotonic clock. Not
+ * thread-safe.
  */
 public final class ConnectionReuse {
     /** Time for which connections are not reused after an answer of unknown owner. */
