Log source, revision and age of what a node learns of endpoints

- endpoint.listed, .changed and .unlisted carry source, revision and max_age_ms; metrics count the news by source and measure their age.
- endpoints.stale and endpoints.current say since when the endpoints' watch has had no reply.
- NotDone carries the reason in place of the status 0.

No decision changes.

--- a/core/src/main/java/org/carobdoor/internal/directory/DirectoryListener.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/DirectoryListener.java
@@ -4,11 +4,11 @@
 public interface DirectoryListener {
 
     /** An endpoint was added, or was restarted with the same identifier. */
-    void started(EndpointEntry entry);
+    void started(EndpointEntry entry, EndpointNews news);
 
     /** The entry of an endpoint has changed. */
-    void changed(EndpointEntry before, EndpointEntry after);
+    void changed(EndpointEntry before, EndpointEntry after, EndpointNews news);
 
     /** An endpoint was removed from the directory. */
-    void removed(EndpointEntry last);
+    void removed(EndpointEntry last, EndpointNews news);
 }
--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -82,7 +82,7 @@
     }
 
     /** Applies a write of an entry, unless it is older than the known revision. */
-    public void put(EndpointEntry entry, long entryRevision) {
+    public void put(EndpointEntry entry, long entryRevision, NewsSource source) {
         Listed before = listed.get(entry.id());
         if (before != null && before.revision >= entryRevision) {
             return;
@@ -90,13 +90,14 @@
         missingUntilNanos.remove(entry.id());
         listed.put(entry.id(), new Listed(entry, entryRevision));
         revision = Math.max(revision, entryRevision);
+        EndpointNews news = new EndpointNews(source, entryRevision);
         if (before == null) {
-            listener.started(entry);
+            listener.started(entry, news);
         } else if (before.entry.isRestartedAs(entry)) {
-            listener.removed(before.entry);
-            listener.started(entry);
+            listener.removed(before.entry, news);
+            listener.started(entry, news);
         } else if (!before.entry.equals(entry)) {
-            listener.changed(before.entry, entry);
+            listener.changed(before.entry, entry, news);
         }
     }
 
@@ -104,7 +105,7 @@
      * Applies the removal of an entry; during and right after an outage, the entry is kept
      * temporarily.
      */
-    public void remove(EndpointId id, long removalRevision, long nowNanos) {
+    public void remove(EndpointId id, long removalRevision, NewsSource source, long nowNanos) {
         revision = Math.max(revision, removalRevision);
         Listed before = listed.get(id);
         if (before == null || before.revision >= removalRevision) {
@@ -113,7 +114,7 @@
         if (before.entry.accepting() && isLapsePossible(nowNanos)) {
             missingUntilNanos.putIfAbsent(id, lapseEndsAtNanos);
         } else {
-            removeEntry(id);
+            removeEntry(id, new EndpointNews(source, removalRevision));
         }
     }
 
@@ -122,15 +123,16 @@
             Collection<EndpointEntry> entries,
             Map<EndpointId, Long> revisions,
             long storeRevision,
+            NewsSource source,
             long nowNanos) {
         Set<EndpointId> present = new HashSet<>();
         for (EndpointEntry e : entries) {
             present.add(e.id());
-            put(e, revisions.getOrDefault(e.id(), storeRevision));
+            put(e, revisions.getOrDefault(e.id(), storeRevision), source);
         }
         for (EndpointId id : List.copyOf(listed.keySet())) {
             if (!present.contains(id)) {
-                remove(id, storeRevision, nowNanos);
+                remove(id, storeRevision, source, nowNanos);
             }
         }
         revision = Math.max(revision, storeRevision);
@@ -174,7 +176,7 @@
                         stopAccepting(id);
                     }
                 });
-        gone.forEach(this::removeEntry);
+        gone.forEach(id -> removeEntry(id, lapseOf(id)));
         lapsePossible &= nowNanos - lapseEndsAtNanos < 0;
     }
 
@@ -187,15 +189,20 @@
         if (last != null && last.entry.accepting()) {
             EndpointEntry unused = last.entry.withoutAccepting();
             listed.put(id, new Listed(unused, last.revision));
-            listener.changed(last.entry, unused);
+            listener.changed(last.entry, unused, lapseOf(id));
         }
     }
 
-    private void removeEntry(EndpointId id) {
+    private EndpointNews lapseOf(EndpointId id) {
+        Listed last = listed.get(id);
+        return new EndpointNews(NewsSource.lapse(), last == null ? 0 : last.revision);
+    }
+
+    private void removeEntry(EndpointId id, EndpointNews news) {
         missingUntilNanos.remove(id);
         Listed last = listed.remove(id);
         if (last != null) {
-            listener.removed(last.entry);
+            listener.removed(last.entry, news);
         }
     }
 }
--- a/core/src/main/java/org/carobdoor/internal/store/StoreAnswer.java
+++ b/core/src/main/java/org/carobdoor/internal/store/StoreAnswer.java
@@ -44,8 +44,12 @@
     /** The requested history has been discarded by the store. */
     record HistoryGone() implements StoreAnswer {}
 
-    /** The store rejected the call and did nothing. */
-    record NotDone(int status) implements StoreAnswer {}
+    /**
+     * The store rejected the call, or did not receive it, and did nothing.
+     *
+     * @param detail the status of the reply, or why the call was not sent
+     */
+    record NotDone(String detail) implements StoreAnswer {}
 
     /** There was no valid response: the call may have taken effect, or may still do so. */
     record Unknown(String detail) implements StoreAnswer {}
--- a/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
@@ -17,23 +17,25 @@
  */
 final class EndpointDirectoryTest {
     private static final long SECOND = 1_000_000_000L;
+    private static final NewsSource WATCH = NewsSource.watch(0);
 
     private final List<String> events = new ArrayList<>();
     private final EndpointDirectory directory =
             EndpointDirectory.create(
                     new DirectoryListener() {
                         @Override
-                        public void started(EndpointEntry entry) {
+                        public void started(EndpointEntry entry, EndpointNews news) {
                             events.add("started " + entry.id());
                         }
 
                         @Override
-                        public void changed(EndpointEntry before, EndpointEntry after) {
+                        public void changed(
+                                EndpointEntry before, EndpointEntry after, EndpointNews news) {
                             events.add("changed " + after.id());
                         }
 
                         @Override
-                        public void removed(EndpointEntry last) {
+                        public void removed(EndpointEntry last, EndpointNews news) {
                             events.add("removed " + last.id());
                         }
                     });
@@ -55,27 +57,27 @@
 
     @Test
     void removedEntryIsDroppedImmediately() {
-        directory.put(entry("i-1", true, 1), 5);
-        directory.remove(new EndpointId("i-1"), 6, 0);
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.remove(new EndpointId("i-1"), 6, WATCH, 0);
         assertThat(events).containsExactly("started i-1", "removed i-1").inOrder();
     }
 
     @Test
     void olderRevisionDoesNotBringAnEntryBack() {
-        directory.put(entry("i-1", false, 1), 5);
-        directory.put(entry("i-1", true, 1), 4);
+        directory.put(entry("i-1", false, 1), 5, WATCH);
+        directory.put(entry("i-1", true, 1), 4, WATCH);
         assertThat(directory.find(new EndpointId("i-1")).orElseThrow().accepting()).isFalse();
     }
 
     @Test
     void entryThatLapsedInAnOutageIsKeptUntilItsEndpointRegistersAgain() {
-        directory.put(entry("i-1", true, 1), 5);
+        directory.put(entry("i-1", true, 1), 5, WATCH);
         directory.recordStoreUnavailable(0);
         directory.recordStoreAvailable(4 * SECOND);
-        directory.remove(new EndpointId("i-1"), 6, 4 * SECOND);
+        directory.remove(new EndpointId("i-1"), 6, WATCH, 4 * SECOND);
         directory.expire(5 * SECOND);
         assertThat(directory.entries()).hasSize(1);
-        directory.put(entry("i-1", true, 1), 7);
+        directory.put(entry("i-1", true, 1), 7, WATCH);
         directory.expire(10 * SECOND);
         assertThat(directory.entries()).hasSize(1);
     }
@@ -84,47 +86,51 @@
     void entryThatStaysMissingGetsNoRequestsTwoSecondsAfterTheOutage() {
         // In scenario sharkawy-bales trouble-2 --seed 558520500439, a request was sent 2,047 ms
         // after the store had become available without the entry.
-        directory.put(entry("i-1", true, 1), 5);
+        directory.put(entry("i-1", true, 1), 5, WATCH);
         directory.recordStoreUnavailable(0);
         directory.recordStoreAvailable(4 * SECOND);
-        directory.remove(new EndpointId("i-1"), 6, 4 * SECOND);
+        directory.remove(new EndpointId("i-1"), 6, WATCH, 4 * SECOND);
         directory.expire(4 * SECOND + 1_700_000_000L);
         assertThat(directory.find(new EndpointId("i-1")).orElseThrow().accepting()).isFalse();
-        directory.put(entry("i-1", true, 1), 7);
+        directory.put(entry("i-1", true, 1), 7, WATCH);
         assertThat(directory.find(new EndpointId("i-1")).orElseThrow().accepting()).isTrue();
     }
 
     @Test
     void entryThatStaysMissingAfterAnOutageIsDropped() {
-        directory.put(entry("i-1", true, 1), 5);
+        directory.put(entry("i-1", true, 1), 5, WATCH);
         directory.recordStoreUnavailable(0);
         directory.recordStoreAvailable(4 * SECOND);
-        directory.remove(new EndpointId("i-1"), 6, 4 * SECOND);
+        directory.remove(new EndpointId("i-1"), 6, WATCH, 4 * SECOND);
         directory.expire(6 * SECOND);
         assertThat(directory.entries()).isEmpty();
     }
 
     @Test
     void leavingEndpointIsDroppedAlsoAfterAnOutage() {
-        directory.put(entry("i-1", false, 1), 5);
+        directory.put(entry("i-1", false, 1), 5, WATCH);
         directory.recordStoreUnavailable(0);
         directory.recordStoreAvailable(4 * SECOND);
-        directory.remove(new EndpointId("i-1"), 6, 4 * SECOND);
+        directory.remove(new EndpointId("i-1"), 6, WATCH, 4 * SECOND);
         assertThat(directory.entries()).isEmpty();
     }
 
     @Test
     void restartUnderTheSameIdentifierIsANewEndpoint() {
-        directory.put(entry("i-1", true, 1), 5);
-        directory.put(entry("i-1", true, 2), 6);
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.put(entry("i-1", true, 2), 6, WATCH);
         assertThat(events).containsExactly("started i-1", "removed i-1", "started i-1").inOrder();
     }
 
     @Test
     void fullListDropsWhatItDoesNotName() {
-        directory.put(entry("i-1", true, 1), 5);
+        directory.put(entry("i-1", true, 1), 5, WATCH);
         directory.replaceAll(
-                List.of(entry("i-2", true, 1)), Map.of(new EndpointId("i-2"), 8L), 9, 0);
+                List.of(entry("i-2", true, 1)),
+                Map.of(new EndpointId("i-2"), 8L),
+                9,
+                NewsSource.list(0),
+                0);
         assertThat(directory.entries().stream().map(e -> e.id().value())).containsExactly("i-2");
         assertThat(directory.isLoaded()).isTrue();
         assertThat(directory.revision()).isEqualTo(9);
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -185,6 +185,7 @@
         state.counters().write(text);
         RetryMetrics.write(state.retries(), text);
         state.endpoints().unexpectedAnswers().write(text);
+        state.endpoints().news().write(text);
         state.quarantine().writeMetrics(text);
         controlLoop.writeMetrics(text);
         text.append("# TYPE carobdoor_gateway_caller_connections gauge\n")
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.carobdoor.internal.directory.EndpointDirectory;
@@ -74,6 +75,7 @@
     private final long directoryStaleNanos;
     private boolean nodeListLoaded;
     private boolean endpointWatchFailing;
+    private boolean directoryStale;
     private long endpointWatchReplyNanos = System.nanoTime();
 
     /** Creates a control loop; {@link #start} starts it. */
@@ -232,8 +234,23 @@
                 || System.nanoTime() - endpointWatchReplyNanos > directoryStaleNanos;
     }
 
+    /** Logs when the endpoints become or cease to be possibly out of date. */
+    private void logStaleness(long nowNanos) {
+        boolean stale = isDirectoryStale();
+        if (stale != directoryStale) {
+            directoryStale = stale;
+            log.line(stale ? "endpoints.stale" : "endpoints.current")
+                    .add("revision", directory.revision())
+                    .add(
+                            "reply_age_ms",
+                            TimeUnit.NANOSECONDS.toMillis(nowNanos - endpointWatchReplyNanos))
+                    .write();
+        }
+    }
+
     private void tick() {
         long now = System.nanoTime();
+        logStaleness(now);
         directory.expire(now);
         state.endpoints().closeIdleConnections(now);
         state.endpoints().setUnreachableZones(peers.silentZones());
@@ -341,8 +358,7 @@
 
         @Override
         public void changed(List<StoreChange> changes, long revision) {
-            mirror.applyEndpoints(changes);
-            directory.advance(revision);
+            mirror.applyEndpoints(changes, revision);
         }
 
         @Override
--- a/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.carobdoor.EndpointId;
 import org.carobdoor.Failure;
 import org.carobdoor.Result;
 import org.carobdoor.internal.deployment.Configuration;
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.directory.NewsSource;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
 import org.carobdoor.message.ReplicaItem;
@@ -38,6 +40,9 @@
     private final Map<String, StoreItem> endpointItems = new HashMap<>();
     private @Nullable StoreItem configurationItem;
 
+    /** When the endpoints were last known to be current, in {@link System#nanoTime}. */
+    private long currentAtNanos = System.nanoTime();
+
     LocalStoreMirror(EndpointDirectory directory, ForwardingState state, DecisionLog log) {
         this.directory = directory;
         this.state = state;
@@ -78,8 +83,12 @@
         }
     }
 
-    /** Replaces all endpoints by a complete list that is current at {@code revision}. */
+    /** Replaces all endpoints by a complete list of the store, current at {@code revision}. */
     void replaceEndpoints(Collection<StoreItem> items, long revision) {
+        replaceEndpoints(items, revision, NewsSource.list(millisSinceCurrent()));
+    }
+
+    private void replaceEndpoints(Collection<StoreItem> items, long revision, NewsSource source) {
         List<EndpointEntry> entries = new ArrayList<>();
         Map<EndpointId, Long> revisions = new HashMap<>();
         endpointItems.clear();
@@ -91,7 +100,8 @@
                 revisions.put(entry.get().id(), item.revision());
             }
         }
-        directory.replaceAll(entries, revisions, revision, System.nanoTime());
+        directory.replaceAll(entries, revisions, revision, source, System.nanoTime());
+        currentAtNanos = System.nanoTime();
         setConfiguredIfComplete();
     }
 
@@ -101,24 +111,30 @@
         }
     }
 
-    /** Applies incremental changes of the endpoints. */
-    void applyEndpoints(List<StoreChange> changes) {
+    /** Applies all changes of the endpoints up to {@code storeRevision}. */
+    void applyEndpoints(List<StoreChange> changes, long storeRevision) {
+        NewsSource source = NewsSource.watch(millisSinceCurrent());
         for (StoreChange change : changes) {
             switch (change) {
                 case StoreChange.Written(StoreItem item) -> {
                     Optional<EndpointEntry> entry = decode(item);
                     if (entry.isPresent()) {
                         endpointItems.put(item.key(), item);
-                        directory.put(entry.get(), item.revision());
+                        directory.put(entry.get(), item.revision(), source);
                     }
                 }
                 case StoreChange.Deleted(String key, long revision) -> {
                     endpointItems.remove(key);
                     EndpointDecoder.idOf(key)
-                            .ifPresent(id -> directory.remove(id, revision, System.nanoTime()));
+                            .ifPresent(
+                                    id ->
+                                            directory.remove(
+                                                    id, revision, source, System.nanoTime()));
                 }
             }
         }
+        directory.advance(storeRevision);
+        currentAtNanos = System.nanoTime();
     }
 
     /** Returns the data that a peer lacks; empty if its revisions are not older. */
@@ -155,7 +171,8 @@
                     mirror.endpoints().stream()
                             .map(i -> new StoreItem(i.key(), i.value(), i.revision()))
                             .toList();
-            replaceEndpoints(items, mirror.directoryRevision());
+            NewsSource source = NewsSource.peer(from, millisSinceCurrent());
+            replaceEndpoints(items, mirror.directoryRevision(), source);
             log.line("endpoints.mirrored")
                     .add("from", from)
                     .add("revision", mirror.directoryRevision())
@@ -163,6 +180,10 @@
         }
     }
 
+    private long millisSinceCurrent() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - currentAtNanos);
+    }
+
     private Optional<EndpointEntry> decode(StoreItem item) {
         return switch (EndpointDecoder.decode(item)) {
             case Result.Ok<EndpointEntry>(EndpointEntry e) -> Optional.of(e);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreClient.java
@@ -110,7 +110,7 @@
                                     case PlatformClient.Outcome.Replied(HttpReply reply) ->
                                             decoder.apply(reply);
                                     case PlatformClient.Outcome.NotSent(String detail) ->
-                                            new StoreAnswer.NotDone(0);
+                                            new StoreAnswer.NotDone(detail);
                                     case PlatformClient.Outcome.NoReply(String detail) ->
                                             new StoreAnswer.Unknown(detail);
                                 }));
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.directory.EndpointNews;
 import org.carobdoor.internal.placement.EndpointLoad;
 import org.carobdoor.internal.quarantine.EndpointCrashDetector;
 import org.carobdoor.message.RequestFeatures;
@@ -14,15 +16,20 @@
     private final EndpointLoad load;
     private final EndpointConnectionPool connections;
     private final EndpointCrashDetector crashDetector = EndpointCrashDetector.create();
+    private EndpointNews news;
+    private long newsNanos = System.nanoTime();
+    private boolean removed;
 
     Endpoint(
             EventLoop loop,
             EndpointEntry entry,
+            EndpointNews news,
             long memoryTokens,
             int maxConnections,
             ResponseBufferLimit bufferLimit,
             Runnable onConnectionOpened,
             UnexpectedAnswerListener unexpectedAnswers) {
+        this.news = news;
         load = EndpointLoad.create(entry, memoryTokens, System.nanoTime());
         connections =
                 new EndpointConnectionPool(
@@ -41,6 +48,39 @@
         return load;
     }
 
+    /** Returns whether the endpoint may get new requests, as far as this node knows now. */
+    public boolean isAccepting() {
+        return !removed && load.entry().accepting();
+    }
+
+    /** Returns what the state of the endpoint rests on. */
+    public EndpointNews news() {
+        return news;
+    }
+
+    /** Returns how long this node has known the state of the endpoint, in milliseconds. */
+    public long knownForMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - newsNanos);
+    }
+
+    /** Replaces the directory entry of the endpoint. */
+    void update(EndpointEntry newer, EndpointNews evidence) {
+        load.update(newer);
+        setNews(evidence);
+    }
+
+    /** Marks the endpoint as removed from the directory, and closes its idle connections. */
+    void remove(EndpointNews evidence) {
+        removed = true;
+        setNews(evidence);
+        close();
+    }
+
+    private void setNews(EndpointNews evidence) {
+        news = evidence;
+        newsNanos = System.nanoTime();
+    }
+
     /**
      * Creates the exchange of one request, whose connection may have been idle for at most {@code
      * maxIdleNanos}.
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -15,6 +15,7 @@
 import org.carobdoor.internal.deployment.Service;
 import org.carobdoor.internal.directory.DirectoryListener;
 import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.directory.EndpointNews;
 import org.carobdoor.internal.placement.EndpointLoad;
 import org.carobdoor.message.EndpointUse;
 import org.carobdoor.node.gateway.log.DecisionLog;
@@ -50,7 +51,7 @@
     private final Map<String, Map<EndpointId, EndpointUse>> remoteUse = new HashMap<>();
     private final ResponseBufferLimit bufferLimit = ResponseBufferLimit.create(MAX_RESPONSE_BYTES);
     private final EventLoop loop;
-    private final DecisionLog log;
+    private final EndpointNewsLog news;
     private final UnexpectedAnswers unexpectedAnswers;
     private Optional<Configuration> configuration = Optional.empty();
     private int nodeCount = 1;
@@ -59,7 +60,7 @@
 
     private EndpointTable(EventLoop loop, DecisionLog log) {
         this.loop = loop;
-        this.log = log;
+        this.news = new EndpointNewsLog(log);
         this.unexpectedAnswers = new UnexpectedAnswers(log);
     }
 
@@ -128,6 +129,11 @@
         return unexpectedAnswers;
     }
 
+    /** Returns what this node has learned of endpoints, for the metrics. */
+    public EndpointNewsLog news() {
+        return news;
+    }
+
     /** Returns the response bytes that are buffered because no caller has received them yet. */
     public long bufferedResponseBytes() {
         return bufferLimit.heldBytes();
@@ -196,11 +202,12 @@
     }
 
     @Override
-    public void started(EndpointEntry entry) {
+    public void started(EndpointEntry entry, EndpointNews evidence) {
         Endpoint e =
                 new Endpoint(
                         loop,
                         entry,
+                        evidence,
                         memoryTokens(entry.service()),
                         maxConnections(entry.service()),
                         bufferLimit,
@@ -215,43 +222,32 @@
             }
         }
         byService.computeIfAbsent(entry.service(), s -> new ArrayList<>()).add(e.load());
-        log.line("endpoint.listed")
-                .add("endpoint", entry.id())
-                .add("service", entry.service())
-                .add("zone", entry.zone())
-                .add("accepting", entry.accepting())
-                .write();
+        news.listed(entry, evidence);
     }
 
     @Override
-    public void changed(EndpointEntry before, EndpointEntry after) {
+    public void changed(EndpointEntry before, EndpointEntry after, EndpointNews evidence) {
         Endpoint e = byId.get(after.id());
         if (e == null) {
             return;
         }
         if (!before.service().equals(after.service())
                 || !before.address().equals(after.address())) {
-            removed(before);
-            started(after);
+            removed(before, evidence);
+            started(after, evidence);
             return;
         }
-        e.load().update(after);
-        if (before.accepting() != after.accepting()) {
-            log.line("endpoint.changed")
-                    .add("endpoint", after.id())
-                    .add("accepting", after.accepting())
-                    .add("leaves_ms", after.leavesInMillis().orElse(-1))
-                    .write();
-        }
+        e.update(after, evidence);
+        news.changed(before, after, evidence);
     }
 
     @Override
-    public void removed(EndpointEntry last) {
+    public void removed(EndpointEntry last, EndpointNews evidence) {
         Endpoint e = byId.remove(last.id());
         if (e != null) {
             byService.getOrDefault(last.service(), new ArrayList<>()).remove(e.load());
-            e.close();
-            log.line("endpoint.unlisted").add("endpoint", last.id()).write();
+            e.remove(evidence);
+            news.unlisted(last, evidence);
         }
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -16,6 +16,7 @@
 import org.carobdoor.EndpointId;
 import org.carobdoor.internal.deployment.Account;
 import org.carobdoor.internal.deployment.RouteKind;
+import org.carobdoor.internal.directory.EndpointNews;
 import org.carobdoor.internal.health.SendOutcome;
 import org.carobdoor.internal.placement.EndpointLoad;
 import org.carobdoor.internal.placement.Placement;
@@ -169,6 +170,9 @@
             listener.onQuarantined();
             return;
         }
+        if (!endpoint.isAccepting()) {
+            recordSendToLeaving();
+        }
         FullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -184,6 +188,20 @@
         endpointExchange.write(message, call.request().id(), this);
     }
 
+    private void recordSendToLeaving() {
+        EndpointNews news = endpoint.news();
+        call.state().counters().recordSendToLeaving(news.source().kind());
+        call.state()
+                .log()
+                .line("send.to_leaving")
+                .add("id", call.request().id())
+                .add("endpoint", load.entry().id())
+                .add("source", news.source().kind().label())
+                .add("revision", news.revision())
+                .add("known_ms", endpoint.knownForMillis())
+                .write();
+    }
+
     private EndpointRequest endpointRequest(long remainingMillis, @Nullable String lastEventId) {
         OptionalInt urgency = OptionalInt.empty();
         if (call.service().engine().isPresent()) {
@@ -393,6 +411,8 @@
                     .add("ejected", load.health().isEjected(now))
                     .add("begun_ms", begun ? (now - begunNanos) / CallContext.NANOS_PER_MILLI : -1)
                     .add("open", endpoint.openConnections())
+                    .add("revision", endpoint.news().revision())
+                    .add("known_ms", endpoint.knownForMillis())
                     .add("parts", promptParts())
                     .add("detail", '"' + detail + '"')
                     .write();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/RequestCounters.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/RequestCounters.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
+import org.carobdoor.internal.directory.NewsSource;
 
 /**
  * Counts requests by outcome, sends and retries, and records latencies. Confined to the event loop.
@@ -16,6 +17,7 @@
     private final Histogram latency = new Histogram(MAX_LATENCY_MILLIS, SIGNIFICANT_DIGITS);
     private final Map<String, Long> sends = new TreeMap<>();
     private final Map<String, Long> repeats = new TreeMap<>();
+    private final Map<NewsSource.Kind, Long> sendsToLeaving = new EnumMap<>(NewsSource.Kind.class);
 
     /** Creates counters that start at zero. */
     public static RequestCounters create() {
@@ -36,6 +38,15 @@
         }
     }
 
+    /**
+     * Counts a request that was written although this node knew that its endpoint is leaving.
+     *
+     * @param source how this node has learned of it
+     */
+    void recordSendToLeaving(NewsSource.Kind source) {
+        sendsToLeaving.merge(source, 1L, Long::sum);
+    }
+
     /** Writes the counters as lines of the Prometheus text format. */
     public void write(StringBuilder to) {
         to.append("# TYPE carobdoor_gateway_requests counter\n");
@@ -48,6 +59,14 @@
         }
         writeByService(to, "carobdoor_gateway_sends", sends);
         writeByService(to, "carobdoor_gateway_repeats", repeats);
+        to.append("# TYPE carobdoor_gateway_sends_to_leaving counter\n");
+        for (NewsSource.Kind k : NewsSource.Kind.values()) {
+            to.append("carobdoor_gateway_sends_to_leaving_total{source=\"")
+                    .append(k.label())
+                    .append("\"} ")
+                    .append(sendsToLeaving.getOrDefault(k, 0L))
+                    .append('\n');
+        }
         to.append("# TYPE carobdoor_gateway_latency_ms summary\n");
         for (double q : new double[] {0.5, 0.9, 0.99}) {
             to.append("carobdoor_gateway_latency_ms{quantile=\"")
--- a/node/src/test/java/org/carobdoor/node/gateway/endpoint/EndpointTableTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/endpoint/EndpointTableTest.java
@@ -9,6 +9,8 @@
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.EndpointId;
 import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.directory.EndpointNews;
+import org.carobdoor.internal.directory.NewsSource;
 import org.carobdoor.internal.placement.EndpointLoad;
 import org.carobdoor.message.EndpointUse;
 import org.carobdoor.node.gateway.log.DecisionLog;
@@ -19,6 +21,8 @@
  * Guards against totals of the other nodes' load that differ from the sum of the latest reports.
  */
 final class EndpointTableTest {
+    private static final EndpointNews NEWS = new EndpointNews(NewsSource.watch(0), 1);
+
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final EndpointTable table = EndpointTable.create(loop, DecisionLog.create());
 
@@ -40,7 +44,8 @@
                         1,
                         0,
                         false,
-                        OptionalLong.empty()));
+                        OptionalLong.empty()),
+                NEWS);
         return table.find(new EndpointId(id)).orElseThrow().load();
     }
 
@@ -82,7 +87,7 @@
     void restartedEndpointKeepsTheReportedLoad() {
         EndpointLoad before = startEndpoint("i-1");
         table.setRemoteUse("b@1", List.of(new EndpointUse("i-1", 3, 700)), true);
-        table.removed(before.entry());
+        table.removed(before.entry(), NEWS);
         assertThat(startEndpoint("i-1").totalRunning()).isEqualTo(3);
     }
 }
