--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.carobdoor.EndpointId;
 
@@ -66,7 +67,10 @@
         return loaded;
     }
 
-    /** Returns the store revision up to which changes have been applied. */
+    /**
+     * Returns the store revision up to which this directory is complete: an endpoint that it does
+     * not have was not registered at that revision.
+     */
     public long revision() {
         return revision;
     }
@@ -81,15 +85,29 @@
         return listed.values().stream().map(Listed::entry).toList();
     }
 
-    /** Applies a write of an entry, unless it is older than the known revision. */
+    /**
+     * Returns the store revision of the registration of {@code id}; empty if it is not registered,
+     * also while its entry is kept after an outage.
+     */
+    public OptionalLong registeredRevision(EndpointId id) {
+        Listed current = listed.get(id);
+        return current == null || missingUntilNanos.containsKey(id)
+                ? OptionalLong.empty()
+                : OptionalLong.of(current.revision);
+    }
+
+    /**
+     * Applies a write of an entry, unless it is older than the known revision, or than the removal
+     * of an endpoint that is not known any more.
+     */
     public void put(EndpointEntry entry, long entryRevision, NewsSource source) {
         Listed before = listed.get(entry.id());
-        if (before != null && before.revision >= entryRevision) {
+        long known = before == null ? revision : before.revision;
+        if (entryRevision <= known) {
             return;
         }
         missingUntilNanos.remove(entry.id());
         listed.put(entry.id(), new Listed(entry, entryRevision));
-        revision = Math.max(revision, entryRevision);
         EndpointNews news = new EndpointNews(source, entryRevision);
         if (before == null) {
             listener.started(entry, news);
@@ -118,7 +136,10 @@
         }
     }
 
-    /** Replaces all entries with a full list, read at {@code storeRevision}. */
+    /**
+     * Replaces all entries with a full list, which is complete at {@code storeRevision}; single
+     * entries may be newer.
+     */
     public void replaceAll(
             Collection<EndpointEntry> entries,
             Map<EndpointId, Long> revisions,
--- a/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
@@ -115,6 +115,38 @@
         assertThat(directory.entries()).isEmpty();
     }
 
+    @Test
+    void writeBeforeANewerListDoesNotBringAnEndpointBack() {
+        // The copy of a peer is ahead of the watch, which then replays the write before the
+        // removal.
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.replaceAll(List.of(), Map.of(), 9, NewsSource.peer("b@1", 0), 0);
+        directory.put(entry("i-1", true, 1), 7, WATCH);
+        assertThat(directory.entries()).isEmpty();
+        directory.put(entry("i-1", true, 2), 10, WATCH);
+        assertThat(directory.entries()).hasSize(1);
+    }
+
+    @Test
+    void listBeforeARemovalDoesNotBringAnEndpointBack() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.remove(new EndpointId("i-1"), 6, WATCH, 0);
+        directory.advance(6);
+        Map<EndpointId, Long> revisions = Map.of(new EndpointId("i-1"), 5L);
+        directory.replaceAll(List.of(entry("i-1", true, 1)), revisions, 5, NewsSource.list(0), 0);
+        assertThat(directory.entries()).isEmpty();
+    }
+
+    @Test
+    void entryOfALaterPageDoesNotMakeTheListNewerThanItsFirstPage() {
+        // A peer that asks for newer endpoints would otherwise get an incomplete copy.
+        Map<EndpointId, Long> revisions = Map.of(new EndpointId("i-2"), 12L);
+        directory.replaceAll(List.of(entry("i-2", true, 1)), revisions, 9, NewsSource.list(0), 0);
+        assertThat(directory.revision()).isEqualTo(9);
+        directory.put(entry("i-1", true, 1), 10, WATCH);
+        assertThat(directory.entries()).hasSize(2);
+    }
+
     @Test
     void restartUnderTheSameIdentifierIsANewEndpoint() {
         directory.put(entry("i-1", true, 1), 5, WATCH);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.EndpointId;
 import org.carobdoor.Failure;
@@ -91,16 +92,16 @@
     private void replaceEndpoints(Collection<StoreItem> items, long revision, NewsSource source) {
         List<EndpointEntry> entries = new ArrayList<>();
         Map<EndpointId, Long> revisions = new HashMap<>();
-        endpointItems.clear();
         for (StoreItem item : items) {
             Optional<EndpointEntry> entry = decode(item);
             if (entry.isPresent()) {
-                endpointItems.put(item.key(), item);
                 entries.add(entry.get());
                 revisions.put(entry.get().id(), item.revision());
             }
         }
         directory.replaceAll(entries, revisions, revision, source, System.nanoTime());
+        items.forEach(this::keepIfCurrent);
+        endpointItems.keySet().removeIf(key -> !isRegistered(key));
         currentAtNanos = System.nanoTime();
         setConfiguredIfComplete();
     }
@@ -119,17 +120,19 @@
                 case StoreChange.Written(StoreItem item) -> {
                     Optional<EndpointEntry> entry = decode(item);
                     if (entry.isPresent()) {
-                        endpointItems.put(item.key(), item);
                         directory.put(entry.get(), item.revision(), source);
+                        keepIfCurrent(item);
                     }
                 }
                 case StoreChange.Deleted(String key, long revision) -> {
-                    endpointItems.remove(key);
                     EndpointDecoder.idOf(key)
                             .ifPresent(
                                     id ->
                                             directory.remove(
                                                     id, revision, source, System.nanoTime()));
+                    if (!isRegistered(key)) {
+                        endpointItems.remove(key);
+                    }
                 }
             }
         }
@@ -180,6 +183,23 @@
         }
     }
 
+    /** Keeps an item for peers if it is the one that the directory rests on. */
+    private void keepIfCurrent(StoreItem item) {
+        OptionalLong current =
+                EndpointDecoder.idOf(item.key())
+                        .map(directory::registeredRevision)
+                        .orElse(OptionalLong.empty());
+        if (current.isPresent() && current.getAsLong() == item.revision()) {
+            endpointItems.put(item.key(), item);
+        }
+    }
+
+    private boolean isRegistered(String key) {
+        return EndpointDecoder.idOf(key)
+                .map(id -> directory.registeredRevision(id).isPresent())
+                .orElse(false);
+    }
+
     private long millisSinceCurrent() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - currentAtNanos);
     }
