Send no requests to an endpoint that says in an answer that it is leaving (DRAIN)

Callers' requests went on to an endpoint for as long as the store, or a peer's copy, listed it as serving, although its own answers said that it was leaving: nothing read Server-Leaving. A node that the store does not answer so sent to it for 3.6 s and more; one whose entry is written again went on for ever.

Streams that are open run on.

EndpointDirectoryTest has the mark against later writes, a removal, a restart and an answer of an earlier start.

--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -19,6 +19,9 @@
  * end. An entry that is missing right after an outage therefore stays in use for {@link
  * #LAPSE_GRACE_NANOS}, then gets no new requests, and is removed after {@link #LAPSE_DROP_NANOS}.
  *
+ * <p>An endpoint that has said in an answer that it is leaving gets no new requests until it starts
+ * again, whatever the store says.
+ *
  * <p>Not thread-safe.
  */
 public final class EndpointDirectory {
@@ -41,10 +44,25 @@
      */
     private static final long MIN_LAPSING_OUTAGE_NANOS = 1_000_000_000L;
 
+    /**
+     * How long an endpoint that is no longer listed is remembered as leaving; the store or a peer
+     * may list it again, for example after an outage, until it has ended.
+     */
+    static final long LEAVING_MEMORY_NANOS = 600_000_000_000L;
+
+    /**
+     * An endpoint that has said that it is leaving.
+     *
+     * @param entry its entry at that time, which tells its starts apart
+     * @param saidAtNanos when its last such answer arrived
+     */
+    private record Leaving(EndpointEntry entry, long saidAtNanos) {}
+
     private record Listed(EndpointEntry entry, long revision) {}
 
     private final Map<EndpointId, Listed> listed = new HashMap<>();
     private final Map<EndpointId, Long> missingUntilNanos = new HashMap<>();
+    private final Map<EndpointId, Leaving> leaving = new HashMap<>();
     private final DirectoryListener listener;
     private boolean loaded;
     private long revision;
@@ -100,7 +118,8 @@
      * Applies a write of an entry, unless it is older than the known revision, or than the removal
      * of an endpoint that is not known any more.
      */
-    public void put(EndpointEntry entry, long entryRevision, NewsSource source) {
+    public void put(EndpointEntry registered, long entryRevision, NewsSource source) {
+        EndpointEntry entry = isLeaving(registered) ? registered.withoutAccepting() : registered;
         Listed before = listed.get(entry.id());
         long known = before == null ? revision : before.revision;
         if (entryRevision <= known) {
@@ -165,6 +184,25 @@
         revision = Math.max(revision, storeRevision);
     }
 
+    /** Records that the endpoint of {@code entry} has said in an answer that it is leaving. */
+    public void recordLeaving(EndpointEntry entry, long nowNanos) {
+        EndpointId id = entry.id();
+        Listed current = listed.get(id);
+        if (current != null && !current.entry.isSameStartAs(entry)) {
+            // A late answer of an earlier start.
+            return;
+        }
+        leaving.put(id, new Leaving(entry, nowNanos));
+        if (current != null) {
+            stopAccepting(id, new EndpointNews(NewsSource.answer(id), current.revision));
+        }
+    }
+
+    private boolean isLeaving(EndpointEntry entry) {
+        Leaving l = leaving.get(entry.id());
+        return l != null && l.entry.isSameStartAs(entry);
+    }
+
     /** Records that the store does not respond. */
     public void recordStoreUnavailable(long nowNanos) {
         if (!storeUnavailable) {
@@ -186,6 +224,7 @@
 
     /**
      * Stops new requests to entries that are still missing after an outage, and later removes them.
+     * Forgets endpoints that said long ago that they are leaving and are not listed.
      */
     public void expire(long nowNanos) {
         List<EndpointId> gone = new ArrayList<>();
@@ -194,9 +233,15 @@
                     if (nowNanos - until >= LAPSE_DROP_NANOS - LAPSE_GRACE_NANOS) {
                         gone.add(id);
                     } else if (nowNanos - until >= 0) {
-                        stopAccepting(id);
+                        stopAccepting(id, lapseOf(id));
                     }
                 });
+        leaving.entrySet()
+                .removeIf(
+                        l ->
+                                !listed.containsKey(l.getKey())
+                                        && nowNanos - l.getValue().saidAtNanos
+                                                > LEAVING_MEMORY_NANOS);
         gone.forEach(id -> removeEntry(id, lapseOf(id)));
         lapsePossible &= nowNanos - lapseEndsAtNanos < 0;
     }
@@ -205,12 +250,12 @@
         return storeUnavailable || (lapsePossible && nowNanos - lapseEndsAtNanos < 0);
     }
 
-    private void stopAccepting(EndpointId id) {
+    private void stopAccepting(EndpointId id, EndpointNews news) {
         Listed last = listed.get(id);
         if (last != null && last.entry.accepting()) {
             EndpointEntry unused = last.entry.withoutAccepting();
             listed.put(id, new Listed(unused, last.revision));
-            listener.changed(last.entry, unused, lapseOf(id));
+            listener.changed(last.entry, unused, news);
         }
     }
 
--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointEntry.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointEntry.java
@@ -53,4 +53,11 @@
     public boolean isRestartedAs(EndpointEntry later) {
         return startedAtMillis != later.startedAtMillis || later.orderSequence < orderSequence;
     }
+
+    /** Returns whether {@code other} is an entry of the same start of this endpoint. */
+    public boolean isSameStartAs(EndpointEntry other) {
+        return startedAtMillis != 0 && other.startedAtMillis != 0
+                ? startedAtMillis == other.startedAtMillis
+                : !isRestartedAs(other);
+    }
 }
--- a/core/src/main/java/org/carobdoor/internal/directory/NewsSource.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/NewsSource.java
@@ -1,6 +1,7 @@
 package org.carobdoor.internal.directory;
 
 import java.util.Locale;
+import org.carobdoor.EndpointId;
 
 /**
  * Where a node learned the state of endpoints.
@@ -20,7 +21,9 @@
         /** The complete copy of another node. */
         PEER,
         /** The entry is still missing some time after an outage of the store. */
-        LAPSE;
+        LAPSE,
+        /** An answer of the endpoint. */
+        ANSWER;
 
         /** Returns the name for logs and metrics. */
         public String label() {
@@ -45,6 +48,11 @@
         return new NewsSource(Kind.PEER, run, maxAgeMillis);
     }
 
+    /** Returns the source of what {@code endpoint} has said in an answer. */
+    static NewsSource answer(EndpointId endpoint) {
+        return new NewsSource(Kind.ANSWER, endpoint.value(), 0);
+    }
+
     /** Returns the source of the end of an entry that was missing after an outage. */
     static NewsSource lapse() {
         return new NewsSource(Kind.LAPSE, STORE, 0);
--- a/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
@@ -147,6 +147,42 @@
         assertThat(directory.entries()).hasSize(2);
     }
 
+    @Test
+    void storeDoesNotUndoWhatAnEndpointSaysOfItself() {
+        EndpointId id = new EndpointId("i-1");
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.recordLeaving(entry("i-1", true, 1), 0);
+        assertThat(directory.find(id).orElseThrow().accepting()).isFalse();
+        directory.put(entry("i-1", true, 1), 6, WATCH);
+        directory.remove(id, 7, WATCH, 0);
+        directory.put(entry("i-1", true, 1), 8, WATCH);
+        assertThat(directory.find(id).orElseThrow().accepting()).isFalse();
+        directory.put(entry("i-1", true, 2), 9, WATCH);
+        assertThat(directory.find(id).orElseThrow().accepting()).isTrue();
+    }
+
+    @Test
+    void lateAnswerOfAnEarlierStartDoesNotEndTheNextOne() {
+        directory.put(entry("i-1", true, 2), 5, WATCH);
+        directory.recordLeaving(entry("i-1", true, 1), 0);
+        assertThat(directory.find(new EndpointId("i-1")).orElseThrow().accepting()).isTrue();
+    }
+
+    @Test
+    void leavingEndpointThatIsListedAgainLongAfterItsRemovalIsForgotten() {
+        EndpointId id = new EndpointId("i-1");
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.recordLeaving(entry("i-1", true, 1), 0);
+        directory.remove(id, 6, WATCH, 0);
+        directory.expire(EndpointDirectory.LEAVING_MEMORY_NANOS);
+        directory.put(entry("i-1", true, 1), 7, WATCH);
+        assertThat(directory.find(id).orElseThrow().accepting()).isFalse();
+        directory.remove(id, 8, WATCH, 0);
+        directory.expire(EndpointDirectory.LEAVING_MEMORY_NANOS + 1);
+        directory.put(entry("i-1", true, 1), 9, WATCH);
+        assertThat(directory.find(id).orElseThrow().accepting()).isTrue();
+    }
+
     @Test
     void restartUnderTheSameIdentifierIsANewEndpoint() {
         directory.put(entry("i-1", true, 1), 5, WATCH);
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -105,17 +105,11 @@
                         ClusterKeys.of(settings.clusterKeys().stream().map(Bytes::utf8).toList()),
                         TransportSettings.defaults(),
                         InstantSource.system());
+        EndpointDirectory directory = EndpointDirectory.create(endpoints);
+        endpoints.onLeaving(entry -> directory.recordLeaving(entry, System.nanoTime()));
         controlLoop =
                 new ControlLoop(
-                        loop,
-                        settings,
-                        state,
-                        EndpointDirectory.create(endpoints),
-                        network,
-                        run,
-                        startedAt,
-                        random,
-                        log);
+                        loop, settings, state, directory, network, run, startedAt, random, log);
         frontServer = CallerServer.open(group, settings.callers(), forwarder, log);
         readinessServer = StatusServer.open(group, settings.readiness(), this::readinessDocument);
         metricsServer = StatusServer.open(group, settings.metrics(), this::metricsDocument);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/Endpoint.java
@@ -27,6 +27,7 @@
             long memoryTokens,
             int maxConnections,
             ResponseBufferLimit bufferLimit,
+            Consumer<EndpointEntry> onLeaving,
             Runnable onConnectionOpened,
             UnexpectedAnswerListener unexpectedAnswers) {
         this.news = news;
@@ -38,6 +39,11 @@
                         maxConnections,
                         bufferLimit,
                         load::recordActivity,
+                        head -> {
+                            if (head.saysLeaving(load.entry().id())) {
+                                onLeaving.accept(load.entry());
+                            }
+                        },
                         onConnectionOpened,
                         unexpectedAnswers);
         load.setMaxRunning(maxConnections);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -171,6 +171,9 @@
         }
         EndpointAnswer decodedHead = EndpointHeaders.decode(head);
         AnswerOwner owner = correlator.ownerOf(decodedHead.requestId());
+        if (owner != AnswerOwner.UNKNOWN) {
+            pool.recordAnswer(decodedHead);
+        }
         switch (owner) {
             case CURRENT -> readOwnHead(head, decodedHead);
             case EARLIER -> {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.carobdoor.internal.request.ConnectionReuse;
+import org.carobdoor.internal.request.EndpointAnswer;
 import org.carobdoor.node.gateway.net.Connector;
 import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 
@@ -66,6 +67,7 @@
     private final EventLoop loop;
     private final InetSocketAddress address;
     private final LongConsumer activityListener;
+    private final Consumer<EndpointAnswer> answerListener;
     private final Runnable openListener;
     private final ResponseBufferLimit bufferLimit;
     private final UnexpectedAnswerListener unexpectedAnswers;
@@ -80,6 +82,7 @@
             int max,
             ResponseBufferLimit bufferLimit,
             LongConsumer activityListener,
+            Consumer<EndpointAnswer> answerListener,
             Runnable openListener,
             UnexpectedAnswerListener unexpectedAnswers) {
         this.loop = loop;
@@ -87,6 +90,7 @@
         this.maxOpen = max;
         this.bufferLimit = bufferLimit;
         this.activityListener = activityListener;
+        this.answerListener = answerListener;
         this.openListener = openListener;
         this.unexpectedAnswers = unexpectedAnswers;
     }
@@ -198,6 +202,11 @@
         activityListener.accept(System.nanoTime());
     }
 
+    /** Records the head of an answer of this endpoint, whether or not it is passed on. */
+    void recordAnswer(EndpointAnswer head) {
+        answerListener.accept(head);
+    }
+
     void onUnexpectedAnswer(UnexpectedAnswer answer) {
         if (answer.ownerUnknown()) {
             reuse.onUnknownAnswer(System.nanoTime());
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.EndpointId;
@@ -56,6 +57,7 @@
     private Optional<Configuration> configuration = Optional.empty();
     private int nodeCount = 1;
     private Set<AvailabilityZone> unreachableZones = Set.of();
+    private Consumer<EndpointEntry> leavingListener = entry -> {};
     private long connectionsOpened;
 
     private EndpointTable(EventLoop loop, DecisionLog log) {
@@ -69,6 +71,13 @@
         return new EndpointTable(loop, log);
     }
 
+    /**
+     * Sets the receiver of the entries of endpoints that say in an answer that they are leaving.
+     */
+    public void onLeaving(Consumer<EndpointEntry> newListener) {
+        leavingListener = newListener;
+    }
+
     /** Returns the endpoint {@code id}, if it is in the directory. */
     public Optional<Endpoint> find(EndpointId id) {
         return Optional.ofNullable(byId.get(id));
@@ -211,6 +220,7 @@
                         memoryTokens(entry.service()),
                         maxConnections(entry.service()),
                         bufferLimit,
+                        saidBy -> leavingListener.accept(saidBy),
                         () -> connectionsOpened++,
                         unexpectedAnswers.listener(entry.id()));
         byId.put(entry.id(), e);
--- a/node/src/test/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPoolTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPoolTest.java
@@ -38,6 +38,7 @@
                         MAX_OPEN,
                         ResponseBufferLimit.create(1_000),
                         nanos -> {},
+                        head -> {},
                         () -> {},
                         answer -> {});
     }
--- a/standins/src/main/java/org/carobdoor/standins/gateway/RawEndpointStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/RawEndpointStandIn.java
@@ -113,6 +113,11 @@
         store.putEndpoint(id, service, "ready", address);
     }
 
+    /** Registers this endpoint in the store as ready, after a restart under the same id. */
+    public void registerRestarted(StoreStandIn store, String id, String service) {
+        store.putEndpoint(id, service, "ready", address, System.currentTimeMillis());
+    }
+
     /** Returns the requests received, in the order of arrival. */
     public List<Request> requests() {
         return List.copyOf(requests);
--- a/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
@@ -26,6 +26,7 @@
  */
 public final class StoreStandIn implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long FIRST_START_MILLIS = 1_700_000_000_000L;
 
     private record Item(String value, long revision, long lease) {}
 
@@ -77,14 +78,32 @@
 
     /** Writes the entry with which an endpoint registers itself. */
     public void putEndpoint(String id, String service, String state, InetSocketAddress address) {
+        putEndpoint(id, service, state, address, FIRST_START_MILLIS);
+    }
+
+    /**
+     * Writes the entry with which an endpoint registers itself.
+     *
+     * @param startedAtMillis when it started, in milliseconds since the epoch
+     */
+    public void putEndpoint(
+            String id,
+            String service,
+            String state,
+            InetSocketAddress address,
+            long startedAtMillis) {
         put(
                 "servers/" + id,
                 String.format(
                         "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"a\","
                                 + "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
                                 + "\"coldRemainingMs\":0,\"sequence\":1,"
-                                + "\"born\":1700000000000}",
-                        service, address.getAddress().getHostAddress(), address.getPort(), state));
+                                + "\"born\":%d}",
+                        service,
+                        address.getAddress().getHostAddress(),
+                        address.getPort(),
+                        state,
+                        startedAtMillis));
     }
 
     /** Deletes a key unconditionally. */
