Ask whether an endpoint leaves before a request is written to it (DRAIN)

A request was written to the endpoint that was chosen for it although the node had learned meanwhile that it leaves: opening a connection takes up to 0.3 s, and only the quarantine was asked again after it. It adds to every other delay of the news.

EndpointAttempt.write, the only place that writes to an endpoint, asks the endpoint's state; a request that is withheld goes to another endpoint, takes nothing from the retry budget, as nothing was sent, and is counted by source.

--- a/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
@@ -14,6 +14,9 @@
     /** No connection could be opened; nothing was sent. */
     void onUnreachable();
 
+    /** The endpoint began to leave, or left, after it had been chosen; nothing was sent. */
+    void onEndpointLeaving();
+
     /** The endpoint stated that it did not run the request. */
     void onRejected(EndpointAnswer decodedHead);
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -171,7 +171,10 @@
             return;
         }
         if (!endpoint.isAccepting()) {
-            recordSendToLeaving();
+            close();
+            logWithheld();
+            listener.onEndpointLeaving();
+            return;
         }
         FullHttpRequest message =
                 new DefaultFullHttpRequest(
@@ -188,12 +191,12 @@
         endpointExchange.write(message, call.request().id(), this);
     }
 
-    private void recordSendToLeaving() {
+    private void logWithheld() {
         EndpointNews news = endpoint.news();
-        call.state().counters().recordSendToLeaving(news.source().kind());
+        call.state().counters().recordWithheld(news.source().kind());
         call.state()
                 .log()
-                .line("send.to_leaving")
+                .line("send.withheld")
                 .add("id", call.request().id())
                 .add("endpoint", load.entry().id())
                 .add("source", news.source().kind().label())
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -300,6 +300,13 @@
         }
     }
 
+    @Override
+    public void onEndpointLeaving() {
+        attempt = null;
+        logRetry("leaving");
+        selectAndSend();
+    }
+
     @Override
     public void onRejected(EndpointAnswer decodedHead) {
         attempt = null;
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/RequestCounters.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/RequestCounters.java
@@ -17,7 +17,7 @@
     private final Histogram latency = new Histogram(MAX_LATENCY_MILLIS, SIGNIFICANT_DIGITS);
     private final Map<String, Long> sends = new TreeMap<>();
     private final Map<String, Long> repeats = new TreeMap<>();
-    private final Map<NewsSource.Kind, Long> sendsToLeaving = new EnumMap<>(NewsSource.Kind.class);
+    private final Map<NewsSource.Kind, Long> withheld = new EnumMap<>(NewsSource.Kind.class);
 
     /** Creates counters that start at zero. */
     public static RequestCounters create() {
@@ -39,12 +39,13 @@
     }
 
     /**
-     * Counts a request that was written although this node knew that its endpoint is leaving.
+     * Counts a request that was not written because its endpoint began to leave after it had been
+     * chosen.
      *
      * @param source how this node has learned of it
      */
-    void recordSendToLeaving(NewsSource.Kind source) {
-        sendsToLeaving.merge(source, 1L, Long::sum);
+    void recordWithheld(NewsSource.Kind source) {
+        withheld.merge(source, 1L, Long::sum);
     }
 
     /** Writes the counters as lines of the Prometheus text format. */
@@ -59,12 +60,12 @@
         }
         writeByService(to, "carobdoor_gateway_sends", sends);
         writeByService(to, "carobdoor_gateway_repeats", repeats);
-        to.append("# TYPE carobdoor_gateway_sends_to_leaving counter\n");
+        to.append("# TYPE carobdoor_gateway_sends_withheld counter\n");
         for (NewsSource.Kind k : NewsSource.Kind.values()) {
-            to.append("carobdoor_gateway_sends_to_leaving_total{source=\"")
+            to.append("carobdoor_gateway_sends_withheld_total{source=\"")
                     .append(k.label())
                     .append("\"} ")
-                    .append(sendsToLeaving.getOrDefault(k, 0L))
+                    .append(withheld.getOrDefault(k, 0L))
                     .append('\n');
         }
         to.append("# TYPE carobdoor_gateway_latency_ms summary\n");
--- a/standins/src/main/java/org/carobdoor/standins/gateway/RawEndpointStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/RawEndpointStandIn.java
@@ -108,6 +108,11 @@
         }
     }
 
+    /** Returns the address that this endpoint listens at. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
     /** Registers this endpoint in the store as ready. */
     public void register(StoreStandIn store, String id, String service) {
         store.putEndpoint(id, service, "ready", address);
