Log the bytes that nodes exchange with each other

The store and the endpoints could not be reached in time from calm nodes, all of which are relays of statuses, and nothing showed what fills their links.

--- a/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
@@ -97,6 +97,11 @@
         peers.remove(run);
     }
 
+    /** Returns whether this node was a relay when it last sent its status. */
+    public boolean isRelay() {
+        return relay;
+    }
+
     /** Returns the interval between two calls of {@link #next}. */
     public long intervalNanos() {
         return StatusInterval.sendNanos(peers.size() + 1);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -25,6 +25,7 @@
 import org.carobdoor.node.gateway.settings.GatewaySettings;
 import org.carobdoor.platform.StoreKeys;
 import org.carobdoor.wire.TcpPeerNetwork;
+import org.carobdoor.wire.TransportCounters;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -53,6 +54,8 @@
 
     private static final long RETRY_SUMMARY_INTERVAL_MILLIS = 1_000;
 
+    private static final long TRAFFIC_SUMMARY_INTERVAL_MILLIS = 5_000;
+
     private static final int STATUS_USAGE_WINDOWS = 4;
 
     private final EventLoop loop;
@@ -61,6 +64,7 @@
     private final EndpointDirectory directory;
     private final StoreClient store;
     private final LocalStoreMirror mirror;
+    private final TransportCounters traffic;
     private final PeerRegistry peers;
     private final QuarantineSync quarantineSync;
     private final @Nullable DutyRunner dutyRunner;
@@ -76,6 +80,8 @@
     private boolean nodeListLoaded;
     private boolean endpointWatchFailing;
     private boolean directoryStale;
+    private long loggedBytesSent;
+    private long loggedBytesReceived;
     private long endpointWatchReplyNanos = System.nanoTime();
 
     /** Creates a control loop; {@link #start} starts it. */
@@ -98,6 +104,7 @@
         this.log = log;
         store = new StoreClient(loop, settings.store(), log);
         mirror = new LocalStoreMirror(directory, state, log);
+        traffic = network.counters();
         clock = ClusterClock.start(System.nanoTime(), System.currentTimeMillis());
         peers =
                 new PeerRegistry(
@@ -167,6 +174,7 @@
             dutyRunner.start();
         }
         GuardedTask.repeat(loop, "control", this::tick, TICK_INTERVAL_MILLIS, log);
+        GuardedTask.repeat(loop, "traffic", this::logTraffic, TRAFFIC_SUMMARY_INTERVAL_MILLIS, log);
         GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
     }
 
@@ -193,6 +201,11 @@
                 .append("\n# TYPE carobdoor_gateway_status_messages counter\n")
                 .append("carobdoor_gateway_status_messages_total ")
                 .append(peers.statusMessages())
+                .append("\n# TYPE carobdoor_gateway_peer_bytes counter\n")
+                .append("carobdoor_gateway_peer_bytes_total{direction=\"sent\"} ")
+                .append(traffic.bytesSent())
+                .append("\ncarobdoor_gateway_peer_bytes_total{direction=\"received\"} ")
+                .append(traffic.bytesReceived())
                 .append("\n# TYPE carobdoor_gateway_nodes gauge\ncarobdoor_gateway_nodes ")
                 .append(peers.nodeCount())
                 .append("\n# TYPE carobdoor_gateway_duty_holder gauge\n")
@@ -234,6 +247,20 @@
                 || System.nanoTime() - endpointWatchReplyNanos > directoryStaleNanos;
     }
 
+    /** Logs the bytes exchanged with other nodes, which share the link with requests. */
+    private void logTraffic() {
+        long sent = traffic.bytesSent();
+        long received = traffic.bytesReceived();
+        long seconds = TimeUnit.MILLISECONDS.toSeconds(TRAFFIC_SUMMARY_INTERVAL_MILLIS);
+        log.line("peers.traffic")
+                .add("sent_per_s", (sent - loggedBytesSent) / seconds)
+                .add("received_per_s", (received - loggedBytesReceived) / seconds)
+                .add("relay", peers.isRelay())
+                .writeSummary();
+        loggedBytesSent = sent;
+        loggedBytesReceived = received;
+    }
+
     /** Logs when the endpoints become or cease to be possibly out of date. */
     private void logStaleness(long nowNanos) {
         boolean stale = isDirectoryStale();
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -241,6 +241,11 @@
         return silent;
     }
 
+    /** Returns whether this node forwards the statuses of others. */
+    boolean isRelay() {
+        return exchange.isRelay();
+    }
+
     /** Returns the number of status messages sent since the start. */
     long statusMessages() {
         return statusMessages;
