Compress statuses of many nodes, and encode them once for all receivers (DRAIN)

A batch is encoded once and not for each receiver. An older node closes the connection on a compressed message: replace all nodes within a few minutes, as before.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -299,15 +301,17 @@
 
     /** Sends a message to all other nodes that are listed. */
     void sendToAll(PeerMessage message) {
-        addresses.keySet().forEach(id -> network.send(id, message));
+        network.send(List.copyOf(addresses.keySet()), message);
     }
 
     private void broadcastStatus() {
         long now = System.nanoTime();
+        Map<PeerMessage, List<NodeId>> receivers = new IdentityHashMap<>();
         for (StatusExchange.Outgoing o : exchange.next(ownStatus.get(), hasNewPeer(), now)) {
             statusMessages++;
-            network.send(new NodeId(o.run()), o.message());
+            receivers.computeIfAbsent(o.message(), m -> new ArrayList<>()).add(new NodeId(o.run()));
         }
+        receivers.forEach((message, runs) -> network.send(runs, message));
         for (String ended : peerRuns.removeEnded(now)) {
             addresses.remove(new NodeId(ended));
             exchange.remove(ended);
--- a/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
@@ -120,8 +120,12 @@
             case CRASH_REPORT -> QuarantineCodec.decode(e.getCrashReport());
             case FEATURE_CLEARANCE -> QuarantineCodec.decode(e.getFeatureClearance());
             case QUARANTINE_NOTICE -> QuarantineCodec.decode(e.getQuarantineNotice());
-            case PAYLOAD_NOT_SET ->
-                    throw new IllegalArgumentException("envelope contains no known message");
+            case PAYLOAD_NOT_SET -> {
+                if (!e.getDeflated().isEmpty()) {
+                    yield decode(EnvelopeCompression.expand(e));
+                }
+                throw new IllegalArgumentException("envelope contains no known message");
+            }
         };
     }
 }
--- a/wire/src/main/java/org/carobdoor/wire/TcpPeerNetwork.java
+++ b/wire/src/main/java/org/carobdoor/wire/TcpPeerNetwork.java
@@ -15,6 +15,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -148,7 +150,7 @@
 
     @Override
     public Result<PeerMessage> call(NodeId peer, PeerMessage message, Instant deadline) {
-        OutgoingMessage call = newMessage(peer, Envelope.Kind.CALL, message);
+        OutgoingMessage call = new OutgoingMessage(peer, encode(Envelope.Kind.CALL, message));
         Duration remaining = Duration.between(clock.instant(), deadline);
         if (!remaining.isPositive()) {
             call.fail("peer.send", "peer.send", "the deadline has passed");
@@ -175,7 +177,16 @@
 
     @Override
     public void send(NodeId peer, PeerMessage message) {
-        OutgoingMessage o = newMessage(peer, Envelope.Kind.ONE_WAY, message);
+        send(List.of(peer), message);
+    }
+
+    /** Sends a message to several peers, for which it is encoded once. */
+    public void send(Collection<NodeId> peers, PeerMessage message) {
+        Envelope envelope = encode(Envelope.Kind.ONE_WAY, message);
+        peers.forEach(p -> send(new OutgoingMessage(p, envelope)));
+    }
+
+    private void send(OutgoingMessage o) {
         if (o.size() + ClusterKey.MAC_BYTES > settings.maxFrameBytes()) {
             counters.droppedSends.increment();
         } else {
@@ -197,9 +208,9 @@
         dispatcher.registerNonBlocking(type, handler);
     }
 
-    private OutgoingMessage newMessage(NodeId peer, Envelope.Kind kind, PeerMessage message) {
-        return new OutgoingMessage(
-                peer, MessageCodec.encode(nextId.getAndIncrement(), kind, message));
+    private Envelope encode(Envelope.Kind kind, PeerMessage message) {
+        return EnvelopeCompression.compress(
+                MessageCodec.encode(nextId.getAndIncrement(), kind, message));
     }
 
     private PeerLink offer(OutgoingMessage message) {
