--- a/core/src/main/java/org/carobdoor/internal/request/EndpointAnswer.java
+++ b/core/src/main/java/org/carobdoor/internal/request/EndpointAnswer.java
@@ -42,13 +42,16 @@
         return status >= FIRST_SERVER_ERROR;
     }
 
+    /** Returns whether another endpoint than the intended one has answered, without running it. */
+    public boolean isMisdirected() {
+        return status == MISDIRECTED;
+    }
+
     /**
      * Returns whether {@code id} says in this answer that it is leaving. A misdirected request was
      * answered by another endpoint, which may use the address of {@code id} now.
      */
     public boolean saysLeaving(EndpointId id) {
-        return leaving
-                && status != MISDIRECTED
-                && (endpoint == null || endpoint.equals(id.value()));
+        return leaving && !isMisdirected() && (endpoint == null || endpoint.equals(id.value()));
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -39,7 +39,6 @@
 final class ForwardedCall implements Exchange.Listener, AttemptListener {
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
-    private static final int MISDIRECTED_REQUEST = 421;
 
     /**
      * Failed connection attempts do not count as sends, but trying all endpoints would take too
@@ -175,7 +174,7 @@
         if (reason.isPresent()) {
             giveUp(reason.get(), cause);
         } else {
-            logRetry(cause);
+            CallLog.retry(call, cause, sends);
             selectAndSend();
         }
     }
@@ -204,16 +203,6 @@
         return sends - misdirectedSends < route.maxAttempts();
     }
 
-    private void logRetry(String cause) {
-        state.log()
-                .line("request.again")
-                .add("id", call.request().id())
-                .add("service", service.name())
-                .add("cause", cause)
-                .add("sends", sends)
-                .write();
-    }
-
     /** Ends the request without a response from an endpoint. */
     private void fail(String cause, long retryAfterMillis) {
         if (streamStarted) {
@@ -295,7 +284,7 @@
             giveUp(GiveUpReason.ATTEMPTS, "unreachable");
         } else {
             // Nothing was sent, so this does not use a retry from the budget.
-            logRetry("unreachable");
+            CallLog.retry(call, "unreachable", sends);
             selectAndSend();
         }
     }
@@ -303,14 +292,14 @@
     @Override
     public void onEndpointLeaving() {
         attempt = null;
-        logRetry("leaving");
+        CallLog.retry(call, "leaving", sends);
         selectAndSend();
     }
 
     @Override
     public void onRejected(EndpointAnswer decodedHead) {
         attempt = null;
-        if (decodedHead.status() == MISDIRECTED_REQUEST) {
+        if (decodedHead.isMisdirected()) {
             // Another endpoint uses the address now; the intended endpoint has not received the
             // request.
             misdirectedSends++;
@@ -451,7 +440,7 @@
                 && acquireRetry("status_" + decodedHead.status(), false).isEmpty()) {
             body.release();
             mayHaveRun = true;
-            logRetry("status_" + decodedHead.status());
+            CallLog.retry(call, "status_" + decodedHead.status(), sends);
             selectAndSend();
         } else {
             end(Outcome.ANSWERED, "status_" + decodedHead.status());
@@ -488,18 +477,6 @@
         long now = System.nanoTime();
         long millis = (now - exchange.arrivedNanos()) / CallContext.NANOS_PER_MILLI;
         state.counters().recordEnd(outcome, millis);
-        state.log()
-                .line("request.ended")
-                .add("id", call.request().id())
-                .add("route", route.name())
-                .add("account", call.accountName())
-                .add("outcome", outcome.label())
-                .add("cause", cause)
-                .add("endpoints", triedEndpoints)
-                .add("sends", sends)
-                .add("gave_up", giveUpReason == null ? "-" : giveUpReason)
-                .add("units", Math.round(call.units()))
-                .add("ms", millis)
-                .write();
+        CallLog.ended(call, outcome, cause, triedEndpoints, sends, giveUpReason, millis);
     }
 }
