Keep missing endpoints only after an outage of the store, not of this node (DRAIN)

Endpoints that had left got requests for up to 1.6 s more at nodes which only could not reach the store themselves: any failed calls for a second counted as an outage in which leases expire.

StoreOutage (core) tells the two apart: while the store is down no other node learns of changes, so a revision of another node that rises more than two seconds after the first failure shows that the store serves others. A silence of less than two heartbeats of the endpoints (new setting endpoint_heartbeat, from the platform's heartbeatMs) cannot have expired an entry either. What a peer's copy tells to have left while this node's calls fail is dropped at once, as before, but by rule and not by the end of an earlier outage.

EndpointDirectoryTest: two of the four new cases fail without the two conditions; the others guard the outage of all nodes.

--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -1,5 +1,6 @@
 package org.carobdoor.internal.directory;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -14,10 +15,11 @@
 /**
  * The endpoints registered in the platform's store, kept up to date by a watch.
  *
- * <p>While the store is unavailable, the last known endpoints are kept. During an outage the leases
- * of running endpoints expire, and these endpoints register again within about two seconds of its
- * end. An entry that is missing right after an outage therefore stays in use for {@link
- * #LAPSE_GRACE_NANOS}, then gets no new requests, and is removed after {@link #LAPSE_DROP_NANOS}.
+ * <p>While the store is unavailable, the last known endpoints are kept. During an outage of the
+ * store ({@link StoreOutage}) the leases of running endpoints expire, and these endpoints register
+ * again within about two seconds of its end. An entry that is missing right after an outage
+ * therefore stays in use for {@link #LAPSE_GRACE_NANOS}, then gets no new requests, and is removed
+ * after {@link #LAPSE_DROP_NANOS}.
  *
  * <p>An endpoint that has said in an answer that it is leaving gets no new requests until it starts
  * again, whatever the store says.
@@ -38,11 +40,8 @@
      */
     public static final long LAPSE_DROP_NANOS = 2_000_000_000L;
 
-    /**
-     * Minimum duration of an outage in which leases can expire; the lease of an entry lasts several
-     * seconds.
-     */
-    private static final long MIN_LAPSING_OUTAGE_NANOS = 1_000_000_000L;
+    /** The interval at which endpoints renew their entries, if the platform states none. */
+    public static final Duration DEFAULT_HEARTBEAT = Duration.ofMillis(1_200);
 
     /**
      * How long an endpoint that is no longer listed is remembered as leaving; the store or a peer
@@ -66,18 +65,25 @@
     private final DirectoryListener listener;
     private boolean loaded;
     private long revision;
-    private boolean storeUnavailable;
-    private long storeUnavailableSinceNanos;
-    private boolean lapsePossible;
-    private long lapseEndsAtNanos;
+    private final StoreOutage outage;
 
-    private EndpointDirectory(DirectoryListener listener) {
+    private EndpointDirectory(DirectoryListener listener, Duration heartbeat) {
         this.listener = listener;
+        this.outage = StoreOutage.create(heartbeat);
     }
 
     /** Returns an empty directory. */
     public static EndpointDirectory create(DirectoryListener listener) {
-        return new EndpointDirectory(listener);
+        return create(listener, DEFAULT_HEARTBEAT);
+    }
+
+    /**
+     * Returns an empty directory.
+     *
+     * @param heartbeat the interval at which endpoints renew their entries
+     */
+    public static EndpointDirectory create(DirectoryListener listener, Duration heartbeat) {
+        return new EndpointDirectory(listener, heartbeat);
     }
 
     /** Returns whether a full list has been read from the store. */
@@ -138,18 +144,15 @@
         }
     }
 
-    /**
-     * Applies the removal of an entry; during and right after an outage, the entry is kept
-     * temporarily.
-     */
+    /** Applies the removal of an entry; right after an outage, the entry is kept temporarily. */
     public void remove(EndpointId id, long removalRevision, NewsSource source, long nowNanos) {
         revision = Math.max(revision, removalRevision);
         Listed before = listed.get(id);
         if (before == null || before.revision >= removalRevision) {
             return;
         }
-        if (before.entry.accepting() && isLapsePossible(nowNanos)) {
-            missingUntilNanos.putIfAbsent(id, lapseEndsAtNanos);
+        if (before.entry.accepting() && outage.isLapsePossible(nowNanos)) {
+            missingUntilNanos.putIfAbsent(id, outage.graceEndsAtNanos());
         } else {
             removeEntry(id, new EndpointNews(source, removalRevision));
         }
@@ -203,23 +206,19 @@
         return l != null && l.entry.isSameStartAs(entry);
     }
 
-    /** Records that the store does not respond. */
+    /** Records that the store does not respond to this node. */
     public void recordStoreUnavailable(long nowNanos) {
-        if (!storeUnavailable) {
-            storeUnavailable = true;
-            storeUnavailableSinceNanos = nowNanos;
-        }
+        outage.recordFailure(nowNanos);
     }
 
-    /** Records that the store responds. */
+    /** Records that the store responds to this node. */
     public void recordStoreAvailable(long nowNanos) {
-        if (storeUnavailable) {
-            storeUnavailable = false;
-            if (nowNanos - storeUnavailableSinceNanos >= MIN_LAPSING_OUTAGE_NANOS) {
-                lapsePossible = true;
-                lapseEndsAtNanos = nowNanos + LAPSE_GRACE_NANOS;
-            }
-        }
+        outage.recordReply(nowNanos, LAPSE_GRACE_NANOS);
+    }
+
+    /** Records the store revision up to which another node is complete. */
+    public void recordRevisionOfPeer(long peerRevision, long nowNanos) {
+        outage.recordHeard(peerRevision, nowNanos);
     }
 
     /**
@@ -243,11 +242,6 @@
                                         && nowNanos - l.getValue().saidAtNanos
                                                 > LEAVING_MEMORY_NANOS);
         gone.forEach(id -> removeEntry(id, lapseOf(id)));
-        lapsePossible &= nowNanos - lapseEndsAtNanos < 0;
-    }
-
-    private boolean isLapsePossible(long nowNanos) {
-        return storeUnavailable || (lapsePossible && nowNanos - lapseEndsAtNanos < 0);
     }
 
     private void stopAccepting(EndpointId id, EndpointNews news) {
--- /dev/null
+++ b/core/src/main/java/org/carobdoor/internal/directory/StoreOutage.java
@@ -0,0 +1,95 @@
+package org.carobdoor.internal.directory;
+
+import java.time.Duration;
+
+/**
+ * Tells an outage of the store, in which leases of running endpoints can expire, from trouble of
+ * this node alone.
+ *
+ * <p>Both look alike from the calls of this node. While the store is down no other node learns of
+ * changes, so a revision of theirs that rises shows that the store serves them, and that what it
+ * tells afterwards to be missing has left. Not thread-safe.
+ */
+final class StoreOutage {
+    /** Calls that fail for less are not an outage. */
+    private static final long MIN_FAILING_NANOS = 1_000_000_000L;
+
+    /**
+     * Time after the first failure until the other nodes have told the revisions that they knew
+     * then: relayed statuses and batched changes are this old at most.
+     */
+    private static final long SETTLE_NANOS = 2_000_000_000L;
+
+    /** An entry expires after three heartbeats, the first of which may just have been due. */
+    private static final int MIN_HEARTBEATS = 2;
+
+    private final long minSilenceNanos;
+    private boolean unavailable;
+    private boolean lapsePossible;
+    private boolean othersServed;
+    private boolean answeredBefore;
+    private long lastReplyNanos;
+    private long failingSinceNanos;
+    private long heardRevision;
+    private long graceEndsAtNanos;
+
+    private StoreOutage(long minSilenceNanos) {
+        this.minSilenceNanos = minSilenceNanos;
+    }
+
+    /**
+     * Returns an instance that knows of no outage.
+     *
+     * @param heartbeat the interval at which endpoints renew their entries
+     */
+    static StoreOutage create(Duration heartbeat) {
+        return new StoreOutage(MIN_HEARTBEATS * heartbeat.toNanos());
+    }
+
+    /** Records that a call has failed. */
+    void recordFailure(long nowNanos) {
+        if (!unavailable) {
+            unavailable = true;
+            othersServed = false;
+            failingSinceNanos = nowNanos;
+        }
+    }
+
+    /**
+     * Records that a call was answered.
+     *
+     * @param graceNanos how long missing entries may have expired in an outage that ends now
+     */
+    void recordReply(long nowNanos, long graceNanos) {
+        if (unavailable) {
+            unavailable = false;
+            boolean longSilence = !answeredBefore || nowNanos - lastReplyNanos >= minSilenceNanos;
+            lapsePossible =
+                    nowNanos - failingSinceNanos >= MIN_FAILING_NANOS
+                            && longSilence
+                            && !othersServed;
+            graceEndsAtNanos = nowNanos + graceNanos;
+        }
+        answeredBefore = true;
+        lastReplyNanos = nowNanos;
+    }
+
+    /** Records a store revision that another node knows. */
+    void recordHeard(long revision, long nowNanos) {
+        boolean settled = nowNanos - failingSinceNanos >= SETTLE_NANOS;
+        if (unavailable && settled && heardRevision > 0 && revision > heardRevision) {
+            othersServed = true;
+        }
+        heardRevision = Math.max(heardRevision, revision);
+    }
+
+    /** Returns whether an entry that is missing now may have expired in an outage. */
+    boolean isLapsePossible(long nowNanos) {
+        return !unavailable && lapsePossible && nowNanos - graceEndsAtNanos < 0;
+    }
+
+    /** Returns when the entries that are missing after the last outage get no more requests. */
+    long graceEndsAtNanos() {
+        return graceEndsAtNanos;
+    }
+}
--- a/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
@@ -183,6 +183,50 @@
         assertThat(directory.find(id).orElseThrow().accepting()).isTrue();
     }
 
+    @Test
+    void endpointThatLeftWhileOnlyThisNodeHadNoStoreIsDroppedAtOnce() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.recordStoreAvailable(0);
+        directory.recordStoreUnavailable(SECOND);
+        directory.recordRevisionOfPeer(7, 2 * SECOND);
+        directory.recordRevisionOfPeer(9, 4 * SECOND);
+        directory.recordStoreAvailable(6 * SECOND);
+        directory.remove(new EndpointId("i-1"), 8, WATCH, 6 * SECOND);
+        assertThat(directory.entries()).isEmpty();
+    }
+
+    @Test
+    void revisionsKnownBeforeAnOutageDoNotEndItsGrace() {
+        // Relayed statuses tell them up to two seconds after the store has gone down.
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.recordStoreAvailable(0);
+        directory.recordRevisionOfPeer(5, SECOND / 2);
+        directory.recordStoreUnavailable(SECOND);
+        directory.recordRevisionOfPeer(7, 2 * SECOND);
+        directory.recordRevisionOfPeer(7, 5 * SECOND);
+        directory.recordStoreAvailable(6 * SECOND);
+        directory.remove(new EndpointId("i-1"), 8, WATCH, 6 * SECOND);
+        assertThat(directory.entries()).hasSize(1);
+    }
+
+    @Test
+    void silenceTooShortForAnEntryToExpireKeepsNoEndpoint() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.recordStoreAvailable(0);
+        directory.recordStoreUnavailable(SECOND);
+        directory.recordStoreAvailable(2 * SECOND);
+        directory.remove(new EndpointId("i-1"), 8, WATCH, 2 * SECOND);
+        assertThat(directory.entries()).isEmpty();
+    }
+
+    @Test
+    void endpointThatAPeerKnowsToHaveLeftIsDroppedDuringAnOutage() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.recordStoreUnavailable(SECOND);
+        directory.replaceAll(List.of(), Map.of(), 9, NewsSource.peer("b@1", 0), 2 * SECOND);
+        assertThat(directory.entries()).isEmpty();
+    }
+
     @Test
     void restartUnderTheSameIdentifierIsANewEndpoint() {
         directory.put(entry("i-1", true, 1), 5, WATCH);
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -105,7 +105,8 @@
                         ClusterKeys.of(settings.clusterKeys().stream().map(Bytes::utf8).toList()),
                         TransportSettings.defaults(),
                         InstantSource.system());
-        EndpointDirectory directory = EndpointDirectory.create(endpoints);
+        EndpointDirectory directory =
+                EndpointDirectory.create(endpoints, settings.bounds().endpointHeartbeat());
         endpoints.onLeaving(entry -> directory.recordLeaving(entry, System.nanoTime()));
         controlLoop =
                 new ControlLoop(
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -319,6 +319,7 @@
         long now = System.nanoTime();
         String sender = message.run();
         clock.report(sender, message.timeMillis(), now);
+        directory.recordRevisionOfPeer(message.directoryRevision(), now);
         quarantineSync.statusReceived(message);
         if (!usable) {
             return;
--- a/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
@@ -169,6 +169,7 @@
                 applyConfiguration(new StoreItem(i.key(), i.value(), i.revision()), from);
             }
         }
+        directory.recordRevisionOfPeer(mirror.directoryRevision(), System.nanoTime());
         if (mirror.directoryRevision() > directory.revision()) {
             List<StoreItem> items =
                     mirror.endpoints().stream()
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
@@ -13,6 +13,7 @@
  * @param quotaTolerance the fraction of a quota by which all nodes together may exceed it
  * @param staleLimit the time after which a node whose connections have gone silent must be up to
  *     date with the store again
+ * @param endpointHeartbeat the interval at which endpoints renew their entries in the store
  * @param reportsUsage whether the duty holder reports usage
  * @param scalesEndpoints whether the duty holder scales the endpoints
  * @param retries the retries that all nodes together may send to a service
@@ -24,6 +25,7 @@
         Duration quotaWindow,
         double quotaTolerance,
         Duration staleLimit,
+        Duration endpointHeartbeat,
         boolean reportsUsage,
         boolean scalesEndpoints,
         RetryAllowance retries) {}
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.carobdoor.Result;
 import org.carobdoor.clients.toml.TomlTable;
+import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.retries.RetryAllowance;
 import org.carobdoor.node.settings.SettingsFile;
 
@@ -66,6 +67,7 @@
                 duration(table, "quota_window", Duration.ofSeconds(8)),
                 table.number("quota_tolerance", 0, 0, 1),
                 duration(table, "stale_limit", Duration.ofSeconds(3)),
+                duration(table, "endpoint_heartbeat", EndpointDirectory.DEFAULT_HEARTBEAT),
                 duties.contains("usage"),
                 duties.contains("scale"),
                 new RetryAllowance(
