--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -158,6 +158,14 @@
         }
     }
 
+    /** Applies a write of an entry that names no endpoint to use, such as one of another writer. */
+    public void putUnusable(EndpointId id, long entryRevision, NewsSource source) {
+        Listed before = listed.get(id);
+        if (before != null && before.revision < entryRevision) {
+            removeEntry(id, new EndpointNews(source, entryRevision));
+        }
+    }
+
     /**
      * Replaces all entries with a full list, which is complete at {@code storeRevision}; single
      * entries may be newer.
--- a/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
@@ -227,6 +227,18 @@
         assertThat(directory.entries()).isEmpty();
     }
 
+    @Test
+    void unusableEntryEndsTheUseOfItsEndpoint() {
+        EndpointId id = new EndpointId("i-1");
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.putUnusable(id, 4, WATCH);
+        assertThat(directory.entries()).hasSize(1);
+        directory.putUnusable(id, 6, WATCH);
+        assertThat(directory.entries()).isEmpty();
+        directory.put(entry("i-1", true, 1), 7, WATCH);
+        assertThat(directory.entries()).hasSize(1);
+    }
+
     @Test
     void restartUnderTheSameIdentifierIsANewEndpoint() {
         directory.put(entry("i-1", true, 1), 5, WATCH);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
@@ -122,6 +122,11 @@
                     if (entry.isPresent()) {
                         directory.put(entry.get(), item.revision(), source);
                         keepIfCurrent(item);
+                    } else {
+                        EndpointDecoder.idOf(item.key())
+                                .ifPresent(
+                                        id -> directory.putUnusable(id, item.revision(), source));
+                        endpointItems.remove(item.key());
                     }
                 }
                 case StoreChange.Deleted(String key, long revision) -> {
--- a/node/src/test/java/org/carobdoor/node/gateway/LeavingEndpointTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/LeavingEndpointTest.java
@@ -199,4 +199,17 @@
             assertThat(node.get("/safe/a").statusCode()).isEqualTo(200);
         }
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"service\":\"desk\",\"state\":\"leaving\"}", "no json"})
+    void endpointWhoseEntryTurnsUnreadableGetsNoMoreRequests(String value) throws Exception {
+        try (RawEndpointStandIn endpoint = endpoint(200, SIGNED, "ok")) {
+            endpoint.register(store, "i-1", "desk");
+            awaitServing("/safe/a");
+            store.put("servers/i-1", value);
+            TestGateway.await(() -> node.get("/safe/a").statusCode() == 503);
+            endpoint.register(store, "i-1", "desk");
+            TestGateway.await(() -> node.get("/safe/a").statusCode() == 200);
+        }
+    }
 }
