Let endpoints leave in the gateway soak, and check both rules of DRAIN

No soak had endpoints that leave: with notice in the store, by removal, in their answers, or both, serving on meanwhile, and coming back under the same id. LeavingCheck compares arrivals at the endpoints with the store's acknowledgement (nodes in touch) and with the first answer that each node has passed on (in touch or not; a restart or freeze excuses).

--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewayCluster.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewayCluster.java
@@ -70,6 +70,9 @@
               "ratePerS":100000000,"burst":100000000}]}
             """;
 
+    /** The plain service. */
+    static final String PLAIN_SERVICE = "auction";
+
     private static final String SETTINGS =
             """
             [node]
@@ -106,6 +109,7 @@
     private final Map<String, int[]> ports = new ConcurrentHashMap<>();
     private final Map<String, Boolean> run = new ConcurrentHashMap<>();
     private final Map<String, Long> disruptedNanos = new ConcurrentHashMap<>();
+    private final Disruptions disruptions = new Disruptions(CONTACT_NANOS);
     private final List<Arrival> deadlyArrivals = new ArrayList<>();
     private final List<Long> crashNanos = new ArrayList<>();
     private final Path root;
@@ -133,7 +137,7 @@
         }
         for (int i = 0; i < endpointCount; i++) {
             StutteringEndpoint e = StutteringEndpoint.start("e-" + i, c.ledger, seed + i);
-            e.register(c.store, "auction");
+            e.register(c.store, PLAIN_SERVICE);
             c.endpoints.add(e);
         }
         for (int i = 0; i < nodeCount; i++) {
@@ -252,6 +256,16 @@
 
     void setStoreDown(boolean down) {
         store.setDown(down);
+        disruptions.recordStore(down);
+    }
+
+    StoreStandIn store() {
+        return store;
+    }
+
+    /** Returns when nodes and the store were disrupted. */
+    Disruptions disruptions() {
+        return disruptions;
     }
 
     void compactStore() {
--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewayFaults.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewayFaults.java
@@ -140,6 +140,7 @@
             }
             cluster.recordDisruption(node);
             cluster.startNode(node);
+            cluster.disruptions().begin(node).close();
         } finally {
             lock.unlock();
         }
@@ -174,7 +175,7 @@
             throws IOException, InterruptedException {
         ReentrantLock lock = lock(node);
         lock.lock();
-        try {
+        try (Disruptions.Span d = cluster.disruptions().begin(node)) {
             cluster.recordDisruption(node);
             ChildProcess p = cluster.process(node);
             if (kill) {
@@ -197,7 +198,7 @@
     private void pause(String node, long millis) throws IOException, InterruptedException {
         ReentrantLock lock = lock(node);
         lock.lock();
-        try {
+        try (Disruptions.Span d = cluster.disruptions().begin(node)) {
             cluster.recordDisruption(node);
             ChildProcess p = cluster.process(node);
             p.pause();
--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
@@ -22,8 +22,8 @@
 /**
  * Runs gateways as separate processes in front of engines that crash on one part of a prompt, while
  * nodes are killed, stopped and suspended, the store goes away and engines crash for other reasons.
- * The endpoints of a plain service beside them respond twice, fail, hold requests and shed them.
- * Exits with status 1 if a guarantee was violated.
+ * The endpoints of a plain service beside them respond twice, fail, hold requests, shed them, leave
+ * and come back. Exits with status 1 if a guarantee was violated.
  *
  * <pre>
  * bin/bench gateway-soak --seed 7 --seconds 20
@@ -37,7 +37,10 @@
     private static final int MAX_SENDS_AFTER_BOUND = 3;
 
     private static final Set<String> RULES =
-            Set.of("MIXED", "BUDGET", "TWICE", "REFUSED", "ORDER", "LOST");
+            Set.of("MIXED", "BUDGET", "TWICE", "REFUSED", "ORDER", "LOST", "DRAIN");
+
+    /** The platform's bound for the use of an endpoint that leaves; the smaller of its sites. */
+    private static final long DRAIN_NANOS = 2_000_000_000L;
 
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(60);
 
@@ -131,7 +134,10 @@
             }
             SplittableRandom plainRandom = new SplittableRandom(seed).split();
             List<PlainClient> callers = startPlainClients(cluster, plainRandom, threads);
-            try (EndpointEpisodes e =
+            EndpointLeaves leaves =
+                    EndpointLeaves.start(cluster.endpoints(), cluster.store(), plainRandom.split());
+            try (leaves;
+                    EndpointEpisodes e =
                             EndpointEpisodes.start(
                                     cluster.endpoints(),
                                     behaviors,
@@ -151,6 +157,7 @@
             }
             check(cluster);
             checkPlainService(cluster);
+            checkLeaves(cluster, leaves.leaves());
         }
         List<String> all = violations.all();
         Map<String, Long> byRule =
@@ -210,6 +217,13 @@
         }
     }
 
+    private void checkLeaves(GatewayCluster cluster, List<EndpointLeave> leaves) {
+        System.out.println(leaves.size() + " times an endpoint of the plain service left");
+        new LeavingCheck(cluster.ledger(), cluster.disruptions(), DRAIN_NANOS)
+                .violations(traffic.exchanges(), leaves)
+                .forEach(violations::add);
+    }
+
     private void check(GatewayCluster cluster) {
         List<Long> crashes = cluster.crashes();
         System.out.println(crashes.size() + " engines crashed on a request");
--- a/bench/src/test/java/org/carobdoor/bench/faults/AnswerCheckTest.java
+++ b/bench/src/test/java/org/carobdoor/bench/faults/AnswerCheckTest.java
@@ -85,7 +85,8 @@
     }
 
     private void arrive(String id, EndpointBehavior behavior, int status, String stamp) {
-        ledger.add(new Arrival(id, "p-0", 1, behavior, 0, status, stamp, "body of " + stamp));
+        ledger.add(
+                new Arrival(id, "p-0", 1, behavior, 0, status, stamp, "body of " + stamp, false));
     }
 
     private List<String> check(boolean safe, @Nullable CallerAnswer answer) {
--- a/standins/src/main/java/org/carobdoor/standins/gateway/AnswerLedger.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/AnswerLedger.java
@@ -23,6 +23,7 @@
      * @param status the status of the endpoint's first response
      * @param stamp the signature of that response, which no other arrival has
      * @param body the body of that response
+     * @param leaving whether that response says that the endpoint is leaving
      */
     public record Arrival(
             String requestId,
@@ -32,7 +33,8 @@
             long arrivedNanos,
             int status,
             String stamp,
-            String body) {}
+            String body,
+            boolean leaving) {}
 
     private final Map<String, List<Arrival>> arrivals = new ConcurrentHashMap<>();
     private final Map<String, Arrival> byStamp = new ConcurrentHashMap<>();
--- a/standins/src/main/java/org/carobdoor/standins/gateway/EndpointBehavior.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/EndpointBehavior.java
@@ -29,4 +29,9 @@
     public boolean isExecuted() {
         return this != SHED && this != MISDIRECTED;
     }
+
+    /** Returns whether another endpoint seems to use the address. */
+    public boolean isMisdirected() {
+        return this == MISDIRECTED;
+    }
 }
--- a/standins/src/main/java/org/carobdoor/standins/gateway/StutteringEndpoint.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StutteringEndpoint.java
@@ -43,6 +43,8 @@
     private final List<EndpointEpisode> episodes = new ArrayList<>();
     private final AtomicInteger arrivals = new AtomicInteger();
     private final RawEndpointStandIn server;
+    private volatile boolean leaving;
+    private volatile long startedAtMillis = System.currentTimeMillis();
 
     private StutteringEndpoint(String id, AnswerLedger ledger, long seed) {
         this.id = id;
@@ -56,9 +58,35 @@
         return new StutteringEndpoint(id, ledger, seed);
     }
 
+    /** Returns the id of this endpoint. */
+    public String id() {
+        return id;
+    }
+
     /** Registers this endpoint in the store as ready. */
     public void register(StoreStandIn store, String service) {
-        server.register(store, id, service);
+        store.putEndpoint(id, service, "ready", server.address(), startedAtMillis);
+    }
+
+    /** Says in the store that this endpoint is leaving. */
+    public void drain(StoreStandIn store, String service) {
+        store.putEndpoint(id, service, "draining", server.address(), startedAtMillis);
+    }
+
+    /** Removes this endpoint from the store; it goes on serving. */
+    public void remove(StoreStandIn store) {
+        store.delete("servers/" + id);
+    }
+
+    /** Says from now on in each response that this endpoint is leaving. */
+    public void sayLeaving() {
+        leaving = true;
+    }
+
+    /** Starts again under the same id; the endpoint has to be registered after it. */
+    public void restart() {
+        leaving = false;
+        startedAtMillis = Math.max(startedAtMillis + 1, System.currentTimeMillis());
     }
 
     /** Begins an episode; episodes may overlap. */
@@ -155,7 +183,15 @@
         String stamp = id + "." + arrivals.incrementAndGet();
         String body = requestId + " " + stamp + " " + "x".repeat(own.nextInt(MAX_BODY_BYTES));
         return new Arrival(
-                requestId, id, request.number(), behavior, System.nanoTime(), status, stamp, body);
+                requestId,
+                id,
+                request.number(),
+                behavior,
+                System.nanoTime(),
+                status,
+                stamp,
+                body,
+                leaving);
     }
 
     private static long delayMillis(
@@ -216,6 +252,7 @@
                 + " Status\r\nX-Server-Stamp: "
                 + arrival.stamp()
                 + "\r\n"
+                + (arrival.leaving() ? "Server-Leaving: 1\r\n" : "")
                 + headers
                 + "Content-Type: text/plain\r\nContent-Length: "
                 + body.length()
