--- a/core/src/main/java/org/carobdoor/internal/directory/StoreOutage.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/StoreOutage.java
@@ -7,8 +7,8 @@
  * this node alone.
  *
  * <p>Both look alike from the calls of this node. While the store is down no other node learns of
- * changes, so a revision of theirs that rises shows that the store serves them, and that what it
- * tells afterwards to be missing has left. Not thread-safe.
+ * changes, so a revision of theirs that rises well before this node reaches the store shows that
+ * the store serves them, and that what it tells to be missing has left. Not thread-safe.
  */
 final class StoreOutage {
     /** Calls that fail for less are not an outage. */
@@ -20,6 +20,12 @@
      */
     private static final long SETTLE_NANOS = 2_000_000_000L;
 
+    /**
+     * How much later than another node this one may reach the store again after an outage of all:
+     * the longest delay between two calls, and the time to connect.
+     */
+    private static final long MAX_RETURN_SPREAD_NANOS = 1_500_000_000L;
+
     /** An entry expires after three heartbeats, the first of which may just have been due. */
     private static final int MIN_HEARTBEATS = 2;
 
@@ -29,6 +35,7 @@
     private boolean othersServed;
     private boolean answeredBefore;
     private long lastReplyNanos;
+    private long othersServedAtNanos;
     private long failingSinceNanos;
     private long heardRevision;
     private long graceEndsAtNanos;
@@ -67,7 +74,7 @@
             lapsePossible =
                     nowNanos - failingSinceNanos >= MIN_FAILING_NANOS
                             && longSilence
-                            && !othersServed;
+                            && !wereOthersServed(nowNanos);
             graceEndsAtNanos = nowNanos + graceNanos;
         }
         answeredBefore = true;
@@ -77,12 +84,19 @@
     /** Records a store revision that another node knows. */
     void recordHeard(long revision, long nowNanos) {
         boolean settled = nowNanos - failingSinceNanos >= SETTLE_NANOS;
-        if (unavailable && settled && heardRevision > 0 && revision > heardRevision) {
+        boolean risen = heardRevision > 0 && revision > heardRevision;
+        if (unavailable && settled && risen && !othersServed) {
             othersServed = true;
+            othersServedAtNanos = nowNanos;
         }
         heardRevision = Math.max(heardRevision, revision);
     }
 
+    /** Returns whether others had the store for longer than nodes differ in regaining it. */
+    private boolean wereOthersServed(long nowNanos) {
+        return othersServed && nowNanos - othersServedAtNanos > MAX_RETURN_SPREAD_NANOS;
+    }
+
     /** Returns whether an entry that is missing now may have expired in an outage. */
     boolean isLapsePossible(long nowNanos) {
         return !unavailable && lapsePossible && nowNanos - graceEndsAtNanos < 0;
--- a/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
@@ -209,6 +209,18 @@
         assertThat(directory.entries()).hasSize(1);
     }
 
+    @Test
+    void nodesThatReachTheStoreAgainFirstDoNotEndTheGraceOfOthers() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.recordStoreAvailable(0);
+        directory.recordRevisionOfPeer(7, SECOND / 2);
+        directory.recordStoreUnavailable(SECOND);
+        directory.recordRevisionOfPeer(9, 5 * SECOND);
+        directory.recordStoreAvailable(6 * SECOND);
+        directory.remove(new EndpointId("i-1"), 8, WATCH, 6 * SECOND);
+        assertThat(directory.entries()).hasSize(1);
+    }
+
     @Test
     void silenceTooShortForAnEntryToExpireKeepsNoEndpoint() {
         directory.put(entry("i-1", true, 1), 5, WATCH);
