Carry the store's era, endpoint evidence and store news in messages between nodes

Change: NodeStatus has the era of the store, measured service times of endpoints, and answers by version; StoreNews and StoreNewsRequest let a node that watches the store tell another one; EndpointEntry has the version of the software. Nothing fills or reads them yet.

--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointEntry.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointEntry.java
@@ -19,6 +19,7 @@
  * @param orderSequence the number of orders that it has accepted since its start
  * @param reclaimable whether the platform may reclaim it at short notice
  * @param leavesInMillis the time until it stops, if it is leaving and the time is known
+ * @param version the version of its software; empty if unknown
  */
 public record EndpointEntry(
         EndpointId id,
@@ -31,7 +32,36 @@
         long startedAtMillis,
         long orderSequence,
         boolean reclaimable,
-        OptionalLong leavesInMillis) {
+        OptionalLong leavesInMillis,
+        String version) {
+
+    /** Creates an entry whose version is not known. */
+    public EndpointEntry(
+            EndpointId id,
+            String service,
+            InetSocketAddress address,
+            AvailabilityZone zone,
+            boolean accepting,
+            int slots,
+            long warmUpMillis,
+            long startedAtMillis,
+            long orderSequence,
+            boolean reclaimable,
+            OptionalLong leavesInMillis) {
+        this(
+                id,
+                service,
+                address,
+                zone,
+                accepting,
+                slots,
+                warmUpMillis,
+                startedAtMillis,
+                orderSequence,
+                reclaimable,
+                leavesInMillis,
+                "");
+    }
 
     /** Returns a copy of this entry that accepts no new requests. */
     public EndpointEntry withoutAccepting() {
@@ -46,7 +76,8 @@
                 startedAtMillis,
                 orderSequence,
                 reclaimable,
-                leavesInMillis);
+                leavesInMillis,
+                version);
     }
 
     /** Returns whether {@code later} is the entry of this endpoint after a restart. */
--- a/core/src/main/java/org/carobdoor/internal/peers/StatusChanges.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StatusChanges.java
@@ -7,9 +7,11 @@
 import java.util.Map;
 import java.util.Set;
 import org.carobdoor.message.AccountUse;
+import org.carobdoor.message.EndpointEvidence;
 import org.carobdoor.message.EndpointUse;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.UsageWindow;
+import org.carobdoor.message.VersionEvidence;
 
 /**
  * Reduces the successive statuses of this node to what has changed. In a large cluster a node
@@ -34,6 +36,8 @@
     private final Map<String, EndpointUse> endpoints = new HashMap<>();
     private final Map<Long, Map<String, Long>> windows = new HashMap<>();
     private final Map<String, Long> work = new HashMap<>();
+    private final Map<String, EndpointEvidence> evidence = new HashMap<>();
+    private Set<VersionEvidence> versions = Set.of();
     private long sequence;
     private int sinceComplete = COMPLETE_EACH;
 
@@ -60,21 +64,38 @@
         Map<String, Long> changedWork = new HashMap<>(all.workMillis());
         changedWork.entrySet().removeIf(e -> e.getValue().equals(work.get(e.getKey())));
         work.putAll(changedWork);
-        return new NodeStatus(
-                all.node(),
-                all.startedAtMillis(),
-                all.zone(),
-                all.timeMillis(),
-                all.configurationRevision(),
-                all.directoryRevision(),
-                sendAll ? all.accounts() : changedAccounts,
-                sendAll ? all.endpoints() : changedEndpoints,
-                sendAll ? all.windows() : changedWindows,
-                sendAll ? all.workMillis() : changedWork,
-                all.quarantineDigest(),
-                sequence,
-                sendAll,
-                unserved);
+        NodeStatus next =
+                new NodeStatus(
+                        all.node(),
+                        all.startedAtMillis(),
+                        all.zone(),
+                        all.timeMillis(),
+                        all.configurationRevision(),
+                        all.directoryRevision(),
+                        sendAll ? all.accounts() : changedAccounts,
+                        sendAll ? all.endpoints() : changedEndpoints,
+                        sendAll ? all.windows() : changedWindows,
+                        sendAll ? all.workMillis() : changedWork,
+                        all.quarantineDigest(),
+                        sequence,
+                        sendAll,
+                        unserved,
+                        all.storeEra(),
+                        sendAll ? all.evidence() : changedEvidence(all.evidence()),
+                        sendAll ? all.versions() : changedVersions(all.versions()));
+        all.evidence().forEach(e -> evidence.put(e.endpoint(), e));
+        evidence.keySet()
+                .retainAll(all.evidence().stream().map(EndpointEvidence::endpoint).toList());
+        versions = Set.copyOf(all.versions());
+        return next;
+    }
+
+    private List<EndpointEvidence> changedEvidence(List<EndpointEvidence> now) {
+        return now.stream().filter(e -> !e.equals(evidence.get(e.endpoint()))).toList();
+    }
+
+    private List<VersionEvidence> changedVersions(List<VersionEvidence> now) {
+        return now.stream().filter(v -> !versions.contains(v)).toList();
     }
 
     private List<AccountUse> changedAccounts(List<AccountUse> now) {
--- a/core/src/main/java/org/carobdoor/message/NodeMessage.java
+++ b/core/src/main/java/org/carobdoor/message/NodeMessage.java
@@ -2,4 +2,9 @@
 
 /** A message about the state of a node or its copy of the store of the platform. */
 public sealed interface NodeMessage extends PeerMessage
-        permits NodeStatus, StatusBatch, StoreMirror, StoreMirrorRequest {}
+        permits NodeStatus,
+                StatusBatch,
+                StoreMirror,
+                StoreMirrorRequest,
+                StoreNews,
+                StoreNewsRequest {}
--- a/core/src/main/java/org/carobdoor/message/NodeStatus.java
+++ b/core/src/main/java/org/carobdoor/message/NodeStatus.java
@@ -23,6 +23,9 @@
  * @param complete whether all values are included; otherwise, an endpoint without work of the node
  *     is included only if it had some in the previous status
  * @param unserved whether the node receives no statuses from a relay
+ * @param storeEra the era of the store that the revisions belong to; 0 if the store states none
+ * @param evidence the measured service times of endpoints
+ * @param versions the answers of endpoints by version, while versions are rolled out
  */
 public record NodeStatus(
         String node,
@@ -38,16 +41,57 @@
         long quarantineDigest,
         long sequence,
         boolean complete,
-        boolean unserved)
+        boolean unserved,
+        long storeEra,
+        List<EndpointEvidence> evidence,
+        List<VersionEvidence> versions)
         implements NodeMessage {
     private static final char RUN_SEPARATOR = '@';
 
+    /** Creates a status without a store era and evidence. */
+    public NodeStatus(
+            String node,
+            long startedAtMillis,
+            String zone,
+            long timeMillis,
+            long configurationRevision,
+            long directoryRevision,
+            List<AccountUse> accounts,
+            List<EndpointUse> endpoints,
+            List<UsageWindow> windows,
+            Map<String, Long> workMillis,
+            long quarantineDigest,
+            long sequence,
+            boolean complete,
+            boolean unserved) {
+        this(
+                node,
+                startedAtMillis,
+                zone,
+                timeMillis,
+                configurationRevision,
+                directoryRevision,
+                accounts,
+                endpoints,
+                windows,
+                workMillis,
+                quarantineDigest,
+                sequence,
+                complete,
+                unserved,
+                0,
+                List.of(),
+                List.of());
+    }
+
     /** Copies the collections. */
     public NodeStatus {
         accounts = List.copyOf(accounts);
         endpoints = List.copyOf(endpoints);
         windows = List.copyOf(windows);
         workMillis = Map.copyOf(workMillis);
+        evidence = List.copyOf(evidence);
+        versions = List.copyOf(versions);
     }
 
     /** Returns whether all values are included, as they are in statuses that are not counted. */
@@ -71,7 +115,10 @@
                 quarantineDigest,
                 sequence,
                 complete,
-                unserved);
+                unserved,
+                storeEra,
+                evidence,
+                versions);
     }
 
     /** Returns the identifier of this process instance of the node. */
--- a/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
@@ -32,6 +32,8 @@
 import org.carobdoor.message.StatusBatch;
 import org.carobdoor.message.StoreMirror;
 import org.carobdoor.message.StoreMirrorRequest;
+import org.carobdoor.message.StoreNews;
+import org.carobdoor.message.StoreNewsRequest;
 import org.carobdoor.message.WorkAck;
 import org.carobdoor.message.WorkCopy;
 import org.carobdoor.message.WorkHandover;
@@ -71,6 +73,8 @@
             case StatusBatch m -> b.setStatusBatch(StatusCodec.encode(m)).build();
             case StoreMirrorRequest m -> b.setStoreMirrorRequest(StatusCodec.encode(m)).build();
             case StoreMirror m -> b.setStoreMirror(StatusCodec.encode(m)).build();
+            case StoreNews m -> b.setStoreNews(StatusCodec.encode(m)).build();
+            case StoreNewsRequest m -> b.setStoreNewsRequest(StatusCodec.encode(m)).build();
             case CrashReport m -> b.setCrashReport(QuarantineCodec.encode(m)).build();
             case FeatureClearance m -> b.setFeatureClearance(QuarantineCodec.encode(m)).build();
             case QuarantineNotice m -> b.setQuarantineNotice(QuarantineCodec.encode(m)).build();
@@ -117,6 +121,8 @@
             case STATUS_BATCH -> StatusCodec.decode(e.getStatusBatch());
             case STORE_MIRROR_REQUEST -> StatusCodec.decode(e.getStoreMirrorRequest());
             case STORE_MIRROR -> StatusCodec.decode(e.getStoreMirror());
+            case STORE_NEWS -> StatusCodec.decode(e.getStoreNews());
+            case STORE_NEWS_REQUEST -> StatusCodec.decode(e.getStoreNewsRequest());
             case CRASH_REPORT -> QuarantineCodec.decode(e.getCrashReport());
             case FEATURE_CLEARANCE -> QuarantineCodec.decode(e.getFeatureClearance());
             case QUARANTINE_NOTICE -> QuarantineCodec.decode(e.getQuarantineNotice());
--- a/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
@@ -8,6 +8,8 @@
 import org.carobdoor.message.StatusBatch;
 import org.carobdoor.message.StoreMirror;
 import org.carobdoor.message.StoreMirrorRequest;
+import org.carobdoor.message.StoreNews;
+import org.carobdoor.message.StoreNewsRequest;
 import org.carobdoor.message.UsageWindow;
 import org.carobdoor.wire.proto.MessagesProto;
 
@@ -28,7 +30,10 @@
                         .setQuarantineDigest(m.quarantineDigest())
                         .setSequence(m.sequence())
                         .setComplete(m.complete())
-                        .setUnserved(m.unserved());
+                        .setUnserved(m.unserved())
+                        .setStoreEra(m.storeEra());
+        m.evidence().forEach(e -> b.addEvidence(EvidenceCodec.encode(e)));
+        m.versions().forEach(v -> b.addVersions(EvidenceCodec.encode(v)));
         for (AccountUse a : m.accounts()) {
             MessagesProto.AccountUse.Builder account =
                     b.addAccountsBuilder().setAccount(a.account()).setGranted(a.granted());
@@ -73,7 +78,10 @@
                 p.getQuarantineDigest(),
                 p.getSequence(),
                 p.getComplete(),
-                p.getUnserved());
+                p.getUnserved(),
+                p.getStoreEra(),
+                p.getEvidenceList().stream().map(EvidenceCodec::decode).toList(),
+                p.getVersionsList().stream().map(EvidenceCodec::decode).toList());
     }
 
     static MessagesProto.StatusBatch encode(StatusBatch m) {
@@ -119,4 +127,37 @@
                 p.getDirectoryRevision(),
                 p.getEndpointsList().stream().map(MessageDecoder::decodeReplicaItem).toList());
     }
+
+    static MessagesProto.StoreNews encode(StoreNews m) {
+        return MessagesProto.StoreNews.newBuilder()
+                .setEra(m.era())
+                .setPrefix(m.prefix())
+                .setAfterRevision(m.afterRevision())
+                .setRevision(m.revision())
+                .addAllItems(m.items().stream().map(MessageEncoder::encode).toList())
+                .setAgeMillis(m.ageMillis())
+                .build();
+    }
+
+    static StoreNews decode(MessagesProto.StoreNews p) {
+        return new StoreNews(
+                p.getEra(),
+                p.getPrefix(),
+                p.getAfterRevision(),
+                p.getRevision(),
+                p.getItemsList().stream().map(MessageDecoder::decodeReplicaItem).toList(),
+                p.getAgeMillis());
+    }
+
+    static MessagesProto.StoreNewsRequest encode(StoreNewsRequest m) {
+        return MessagesProto.StoreNewsRequest.newBuilder()
+                .setEra(m.era())
+                .setPrefix(m.prefix())
+                .setRevision(m.revision())
+                .build();
+    }
+
+    static StoreNewsRequest decode(MessagesProto.StoreNewsRequest p) {
+        return new StoreNewsRequest(p.getEra(), p.getPrefix(), p.getRevision());
+    }
 }
--- a/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
+++ b/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
@@ -23,6 +23,7 @@
 import org.carobdoor.message.ClaimUpdate;
 import org.carobdoor.message.CrashId;
 import org.carobdoor.message.CrashReport;
+import org.carobdoor.message.EndpointEvidence;
 import org.carobdoor.message.EndpointUse;
 import org.carobdoor.message.FeatureClearance;
 import org.carobdoor.message.LoadReport;
@@ -38,10 +39,14 @@
 import org.carobdoor.message.RequestFeature;
 import org.carobdoor.message.RequestFeatures;
 import org.carobdoor.message.RequestPattern;
+import org.carobdoor.message.ServiceTimeSum;
 import org.carobdoor.message.StatusBatch;
 import org.carobdoor.message.StoreMirror;
 import org.carobdoor.message.StoreMirrorRequest;
+import org.carobdoor.message.StoreNews;
+import org.carobdoor.message.StoreNewsRequest;
 import org.carobdoor.message.UsageWindow;
+import org.carobdoor.message.VersionEvidence;
 import org.carobdoor.message.WorkAck;
 import org.carobdoor.message.WorkChunk;
 import org.carobdoor.message.WorkCopy;
@@ -112,7 +117,23 @@
                                             -11L,
                                             12L,
                                             true,
-                                            true),
+                                            true,
+                                            14L,
+                                            List.of(
+                                                    new EndpointEvidence(
+                                                            "i-1",
+                                                            15L,
+                                                            List.of(
+                                                                    new ServiceTimeSum(
+                                                                            3, 4L, 2.5, 5.5)))),
+                                            List.of(
+                                                    new VersionEvidence(
+                                                            "llm",
+                                                            "v2",
+                                                            "r-1",
+                                                            9L,
+                                                            2L,
+                                                            List.of(0L, 7L, 2L)))),
                                     new StatusBatch(
                                             List.of(
                                                     new NodeStatus(
@@ -135,6 +156,14 @@
                                             List.of(new ReplicaItem("c", 1, false, B)),
                                             2L,
                                             List.of(new ReplicaItem("e", 1, false, B))),
+                                    new StoreNews(
+                                            2L,
+                                            "op/",
+                                            3L,
+                                            5L,
+                                            List.of(new ReplicaItem("op/config", 4, false, B)),
+                                            70L),
+                                    new StoreNewsRequest(2L, "op/", 5L),
                                     new CrashReport(CRASH, List.of(FEATURES)),
                                     new FeatureClearance(FEATURES.own(), List.of(CRASH)),
                                     new QuarantineNotice(
