--- a/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.node.gateway.net.Connector;
+import org.carobdoor.node.gateway.net.MessageFraming;
 import org.carobdoor.node.gateway.net.ReceivedByteCounter;
 import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 import org.carobdoor.platform.HttpCall;
@@ -110,6 +111,7 @@
         private final Callback callback;
         private @Nullable Channel channel;
         private @Nullable ScheduledFuture<?> timer;
+        private @Nullable ChannelFuture writeFuture;
         private boolean sent;
         private boolean completed;
 
@@ -164,7 +166,11 @@
                 r.headers().set(call.headers()[i], call.headers()[i + 1]);
             }
             sent = true;
-            ch.writeAndFlush(r);
+            writeFuture = ch.writeAndFlush(r);
+        }
+
+        private boolean isCallWritten() {
+            return writeFuture != null && writeFuture.isSuccess();
         }
 
         private void timedOut() {
@@ -178,6 +184,11 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse r) {
             if (!r.decoderResult().isSuccess()) {
                 complete(new Outcome.NoReply("malformed reply"));
+            } else if (!MessageFraming.isValidStatus(r.status())) {
+                complete(new Outcome.NoReply("reply with the invalid status " + r.status().code()));
+            } else if (!isCallWritten() && r.status().codeClass() == HttpStatusClass.SUCCESS) {
+                // The reply may be cut off by a reset that the write has met first.
+                complete(new Outcome.NoReply("success before the call was written"));
             } else if (r.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 complete(new Outcome.NoReply("unexpected change of protocol"));
             } else if (r.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnection.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.carobdoor.internal.request.AnswerCorrelator;
@@ -29,7 +30,8 @@
  * <p>The connection is reused only if the response was framed, complete and for the request that
  * was sent, and if nothing else has arrived. Repeated responses to earlier requests are dropped. A
  * response whose request cannot be told ends the request as failed. A response without a length is
- * complete when the endpoint closes the connection, but not when it resets it.
+ * complete when the endpoint closes the connection, but not when it resets it or closes it before
+ * it has received the whole request.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -45,6 +47,7 @@
     private long sentNanos;
     private int requestCount;
     private boolean headSeen;
+    private boolean endsWithConnection;
     private boolean skippingResponse;
     private boolean reusable = true;
     private boolean broken;
@@ -160,6 +163,10 @@
             fail("response with a transfer coding other than \"chunked\"");
             return;
         }
+        if (!MessageFraming.isValidStatus(head.status())) {
+            fail("response with the invalid status " + head.status().code());
+            return;
+        }
         if (MessageFraming.containsStatusLine(head)) {
             recordUnexpected(Reaction.FAILED, head);
             fail("head that contains the beginning of another one");
@@ -199,6 +206,8 @@
             return;
         }
         headSeen = true;
+        endsWithConnection =
+                !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
         reusable &= !decodedHead.closes();
         decodedHead
                 .keepAliveMillis()
@@ -251,8 +260,14 @@
     }
 
     private void end(ResponseListener l) {
-        listener = null;
         boolean bodySent = writeFuture != null && writeFuture.isSuccess();
+        if (endsWithConnection && !bodySent && !channel().isActive()) {
+            // A reset that a write meets first closes the channel without an exception, so it
+            // looks like the end of the response.
+            failLost("connection closed while the request was being written");
+            return;
+        }
+        listener = null;
         if (reusable && bodySent && codec.hasBufferedBytes()) {
             moreReceived = true;
         } else if (reusable && bodySent && isOpen()) {
--- a/node/src/main/java/org/carobdoor/node/gateway/net/MessageFraming.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/net/MessageFraming.java
@@ -19,6 +19,8 @@
  */
 public final class MessageFraming {
     private static final String VERSION_PREFIX = "HTTP/1.";
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] +[1-5]\\d\\d");
 
     private MessageFraming() {}
@@ -50,6 +52,11 @@
                 || status.equals(HttpResponseStatus.NOT_MODIFIED);
     }
 
+    /** Returns whether a status is one of HTTP (RFC 9110, section 15). */
+    public static boolean isValidStatus(HttpResponseStatus status) {
+        return status.code() >= MIN_STATUS && status.code() <= MAX_STATUS;
+    }
+
     /**
      * Returns whether the reason phrase or a header value contains a status line: the head of one
      * response was cut off inside that line, and another response follows.
