--- a/clients/src/main/java/org/carobdoor/clients/http/SingleAttemptHttp.java
+++ b/clients/src/main/java/org/carobdoor/clients/http/SingleAttemptHttp.java
@@ -1,5 +1,6 @@
 package org.carobdoor.clients.http;
 
+import java.io.IOException;
 import java.net.Proxy;
 import java.time.Duration;
 import okhttp3.Call;
@@ -22,6 +23,8 @@
  */
 public final class SingleAttemptHttp {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
     private static final int HTTP_UNAVAILABLE = 503;
 
     /** More than the largest body that a client of this project accepts. */
@@ -47,7 +50,8 @@
                 .eventListenerFactory(SingleAttemptHttp::newEventListener)
                 .addNetworkInterceptor(
                         chain ->
-                                withoutRetryAfter(chain.proceed(onOwnConnection(chain.request()))));
+                                withoutRetryAfter(
+                                        checked(chain.proceed(onOwnConnection(chain.request())))));
     }
 
     // OkHttp does not reuse the connection of a request that has this header.
@@ -55,6 +59,33 @@
         return request.newBuilder().header("Connection", "close").build();
     }
 
+    /**
+     * Returns {@code response} if it is valid and its end can be told.
+     *
+     * @throws IOException if the status is invalid, or if the response ends with its connection and
+     *     the request could not be written: the write has met a reset, which the read then takes
+     *     for the end
+     */
+    private static Response checked(Response response) throws IOException {
+        SendTracker tracker = response.request().tag(SendTracker.class);
+        String failure = null;
+        if (response.code() < MIN_STATUS || response.code() > MAX_STATUS) {
+            failure = "response with the invalid status " + response.code();
+        } else if (tracker != null && tracker.hasWriteFailed() && !isFramed(response)) {
+            failure = "connection lost while the request was being written";
+        }
+        if (failure != null) {
+            response.close();
+            throw new IOException(failure);
+        }
+        return response;
+    }
+
+    private static boolean isFramed(Response response) {
+        return response.header("Content-Length") != null
+                || response.header("Transfer-Encoding") != null;
+    }
+
     // OkHttp repeats a request after status 503 with "Retry-After: 0" regardless of
     // retryOnConnectionFailure, so the header is removed before OkHttp evaluates it.
     private static Response withoutRetryAfter(Response response) {
@@ -79,6 +110,11 @@
         public void requestHeadersStart(Call call) {
             tracker.markSent();
         }
+
+        @Override
+        public void requestFailed(Call call, IOException e) {
+            tracker.markWriteFailed();
+        }
     }
 
     /** Returns a copy of the request that reports to {@code tracker} when it is sent. */
