Hold half of the remaining quota in pools of the zones in large clusters (core)

Change: AccountQuota divides half of what is left among the nodes as before; a lender for each zone grants whole requests from the other half. Nothing uses it yet.

--- a/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/AccountQuota.java
@@ -18,7 +18,8 @@
  * far, half equally among the nodes. The parts of all nodes add up to the whole. A node of which
  * three reports are missing is assumed to use an equal share of the remaining quota and of the
  * quota that becomes free. A node that is partitioned from all others therefore grants only its own
- * share, and so do the nodes on the other side.
+ * share, and so do the nodes on the other side. In a large cluster the parts are smaller, and a
+ * pool for each zone holds the rest, see {@link QuotaPool}.
  *
  * <p>The quota must hold when one account sends several times its quota through all nodes at once,
  * or through nodes that cannot reach each other. Safe for use by several threads.
@@ -73,10 +74,13 @@
     private final Map<String, Peer> peers = new HashMap<>();
     private final SlidingUseWindow totalUse;
     private final SlidingUseWindow ownUse;
+    private final SlidingUseWindow lentUse;
     private final RandomGenerator random;
     private final double windowSeconds;
     private final double tolerance;
     private QuotaLimit limit;
+    private QuotaPool pools = QuotaPool.NONE;
+    private double zoneFraction;
     private int nodes = 1;
     private double grantedHere;
     private boolean knowsEarlierUse;
@@ -95,6 +99,7 @@
         this.random = random;
         this.totalUse = new SlidingUseWindow(windowNanos, nowNanos);
         this.ownUse = new SlidingUseWindow(windowNanos, nowNanos);
+        this.lentUse = new SlidingUseWindow(windowNanos, nowNanos);
         this.roundingEndsAtNanos = nowNanos;
         this.windowSeconds = windowNanos / NANOS_PER_SECOND;
         this.updatedAtNanos = nowNanos;
@@ -132,7 +137,7 @@
                 return new QuotaDecision.Exceeded(Math.max(1, wait / NANOS_PER_MILLI));
             }
             if (!isWithinPart(units, remaining, nowNanos)) {
-                return new QuotaDecision.Exceeded(reportNanos() / NANOS_PER_MILLI);
+                return new QuotaDecision.PartExceeded(reportNanos() / NANOS_PER_MILLI);
             }
             totalUse.add(units);
             ownUse.add(units);
@@ -143,6 +148,56 @@
         }
     }
 
+    /**
+     * Grants a request of a node of this zone from the pool of the zone, and returns whether it was
+     * granted. Its units count as granted by this node.
+     */
+    public boolean tryLend(double units, long nowNanos) {
+        lock.lock();
+        try {
+            update(nowNanos);
+            double remaining = allowed() - totalUse.total();
+            double lent = lentUse.usedInLast(reportNanos());
+            double pool = pools.fraction() * zoneFraction * (remaining + lent) - lent;
+            if (remaining <= 0 || pool <= 0 || units > pool + pools.excess()) {
+                return false;
+            }
+            totalUse.add(units);
+            lentUse.add(units);
+            grantedHere += units;
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Records that a lender has granted a request of this node. */
+    public void borrowed(double units, long nowNanos) {
+        lock.lock();
+        try {
+            update(nowNanos);
+            ownUse.add(units);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Sets the pools of the zones.
+     *
+     * @param newPools how much they hold
+     * @param newZoneFraction the fraction of all nodes that are in the zone of this node
+     */
+    public void setPools(QuotaPool newPools, double newZoneFraction) {
+        lock.lock();
+        try {
+            pools = newPools;
+            zoneFraction = newZoneFraction;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Refunds the units of a request that was not run. */
     public void refund(double units) {
         lock.lock();
@@ -299,6 +354,7 @@
         }
         double useFraction = Math.clamp(ownUse.total() / Math.max(1, totalUse.total()), 0, 1);
         double part = USE_WEIGHT * useFraction + (1 - USE_WEIGHT) / nodes;
+        part *= 1 - pools.fraction();
         double granted = ownUse.usedInLast(reportNanos());
         return part * (remaining + granted) - granted > roundingThreshold * units;
     }
@@ -319,6 +375,7 @@
         updatedAtNanos = Math.max(updatedAtNanos, nowNanos);
         knowsEarlierUse |= totalUse.advance(nowNanos);
         ownUse.advance(nowNanos);
+        lentUse.advance(nowNanos);
         double share = allowed() / windowSeconds * seconds / nodes;
         long silentAfterNanos = MISSING_REPORTS * reportNanos();
         double shareOfRemaining = Math.max(0, allowed() - totalUse.total()) / nodes;
--- a/core/src/main/java/org/carobdoor/internal/quota/QuotaDecision.java
+++ b/core/src/main/java/org/carobdoor/internal/quota/QuotaDecision.java
@@ -13,4 +13,12 @@
      *     them
      */
     record Exceeded(long retryAfterMillis) implements QuotaDecision {}
+
+    /**
+     * Some quota is left, but the part of this node is too small; nothing was taken. Another node
+     * may lend it.
+     *
+     * @param retryAfterMillis the time until the parts change
+     */
+    record PartExceeded(long retryAfterMillis) implements QuotaDecision {}
 }
--- a/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/MessageCodec.java
@@ -27,6 +27,8 @@
 import org.carobdoor.message.Ping;
 import org.carobdoor.message.Pong;
 import org.carobdoor.message.QuarantineNotice;
+import org.carobdoor.message.QuotaLoanReply;
+import org.carobdoor.message.QuotaLoanRequest;
 import org.carobdoor.message.ReplicaItems;
 import org.carobdoor.message.ReplicaPull;
 import org.carobdoor.message.StatusBatch;
@@ -75,6 +77,8 @@
             case StoreMirror m -> b.setStoreMirror(StatusCodec.encode(m)).build();
             case StoreNews m -> b.setStoreNews(StatusCodec.encode(m)).build();
             case StoreNewsRequest m -> b.setStoreNewsRequest(StatusCodec.encode(m)).build();
+            case QuotaLoanRequest m -> b.setQuotaLoanRequest(StatusCodec.encode(m)).build();
+            case QuotaLoanReply m -> b.setQuotaLoanReply(StatusCodec.encode(m)).build();
             case CrashReport m -> b.setCrashReport(QuarantineCodec.encode(m)).build();
             case FeatureClearance m -> b.setFeatureClearance(QuarantineCodec.encode(m)).build();
             case QuarantineNotice m -> b.setQuarantineNotice(QuarantineCodec.encode(m)).build();
@@ -123,6 +127,8 @@
             case STORE_MIRROR -> StatusCodec.decode(e.getStoreMirror());
             case STORE_NEWS -> StatusCodec.decode(e.getStoreNews());
             case STORE_NEWS_REQUEST -> StatusCodec.decode(e.getStoreNewsRequest());
+            case QUOTA_LOAN_REQUEST -> StatusCodec.decode(e.getQuotaLoanRequest());
+            case QUOTA_LOAN_REPLY -> StatusCodec.decode(e.getQuotaLoanReply());
             case CRASH_REPORT -> QuarantineCodec.decode(e.getCrashReport());
             case FEATURE_CLEARANCE -> QuarantineCodec.decode(e.getFeatureClearance());
             case QUARANTINE_NOTICE -> QuarantineCodec.decode(e.getQuarantineNotice());
--- a/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
@@ -5,6 +5,8 @@
 import org.carobdoor.message.AccountUse;
 import org.carobdoor.message.EndpointUse;
 import org.carobdoor.message.NodeStatus;
+import org.carobdoor.message.QuotaLoanReply;
+import org.carobdoor.message.QuotaLoanRequest;
 import org.carobdoor.message.StatusBatch;
 import org.carobdoor.message.StoreMirror;
 import org.carobdoor.message.StoreMirrorRequest;
@@ -160,4 +162,27 @@
     static StoreNewsRequest decode(MessagesProto.StoreNewsRequest p) {
         return new StoreNewsRequest(p.getEra(), p.getPrefix(), p.getRevision());
     }
+
+    static MessagesProto.QuotaLoanRequest encode(QuotaLoanRequest m) {
+        return MessagesProto.QuotaLoanRequest.newBuilder()
+                .setNumber(m.number())
+                .setAccount(m.account())
+                .setUnits(m.units())
+                .build();
+    }
+
+    static QuotaLoanRequest decode(MessagesProto.QuotaLoanRequest p) {
+        return new QuotaLoanRequest(p.getNumber(), p.getAccount(), p.getUnits());
+    }
+
+    static MessagesProto.QuotaLoanReply encode(QuotaLoanReply m) {
+        return MessagesProto.QuotaLoanReply.newBuilder()
+                .setNumber(m.number())
+                .setGranted(m.granted())
+                .build();
+    }
+
+    static QuotaLoanReply decode(MessagesProto.QuotaLoanReply p) {
+        return new QuotaLoanReply(p.getNumber(), p.getGranted());
+    }
 }
--- a/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
+++ b/wire/src/test/java/org/carobdoor/wire/MessageCodecTest.java
@@ -33,6 +33,8 @@
 import org.carobdoor.message.Pong;
 import org.carobdoor.message.QuarantineEntry;
 import org.carobdoor.message.QuarantineNotice;
+import org.carobdoor.message.QuotaLoanReply;
+import org.carobdoor.message.QuotaLoanRequest;
 import org.carobdoor.message.ReplicaItem;
 import org.carobdoor.message.ReplicaItems;
 import org.carobdoor.message.ReplicaPull;
@@ -164,6 +166,8 @@
                                             List.of(new ReplicaItem("op/config", 4, false, B)),
                                             70L),
                                     new StoreNewsRequest(2L, "op/", 5L),
+                                    new QuotaLoanRequest(3L, "hay", 12_000.5),
+                                    new QuotaLoanReply(3L, true),
                                     new CrashReport(CRASH, List.of(FEATURES)),
                                     new FeatureClearance(FEATURES.own(), List.of(CRASH)),
                                     new QuarantineNotice(
