Lend quota within a zone to requests that exceed the part of their node

Change: in clusters with relayed statuses a request that exceeds its node's part is asked for as a whole at the lender of the zone; metrics carobdoor_gateway_quota_loans_total; quota_excess in the settings. Measured: QuotaPoolSimulationTest, GatewayTest and MessageCodecTest pass (arm64). The path between real nodes is not played yet.

--- a/core/src/main/java/org/carobdoor/internal/peers/PeerRuns.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/PeerRuns.java
@@ -113,6 +113,18 @@
         return silent;
     }
 
+    /** Returns the runs of a zone from which a status was received in the last {@code nanos}. */
+    public List<String> heardIn(AvailabilityZone zone, long nanos, long nowNanos) {
+        List<String> heard = new ArrayList<>();
+        runs.forEach(
+                (run, r) -> {
+                    if (r.heard && zone.equals(r.zone) && nowNanos - r.heardAtNanos < nanos) {
+                        heard.add(run);
+                    }
+                });
+        return heard;
+    }
+
     private Set<AvailabilityZone> zones(Predicate<Run> condition) {
         Set<AvailabilityZone> zones = new HashSet<>();
         for (Run r : runs.values()) {
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -56,6 +56,9 @@
     /** The rest of the tolerance is reserved for grants that other nodes have not reported yet. */
     private static final double QUOTA_TOLERANCE_FRACTION = 0.7;
 
+    /** The pools of seven zones may be overdrawn at once, and leave some for late reports. */
+    private static final double POOL_EXCESS_FRACTION = 0.125;
+
     private static final long POLL_INTERVAL_MILLIS = 50;
 
     private final EventLoopGroup group;
@@ -88,6 +91,7 @@
                         AccountQuotas.create(
                                 settings.bounds().quotaWindow().toNanos(),
                                 settings.bounds().quotaTolerance() * QUOTA_TOLERANCE_FRACTION,
+                                settings.bounds().quotaExcess() * POOL_EXCESS_FRACTION,
                                 random),
                         UsageCounts.create(settings.bounds().usageWindow().toMillis()),
                         log,
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -67,6 +67,7 @@
     private final TransportCounters traffic;
     private final PeerRegistry peers;
     private final QuarantineSync quarantineSync;
+    private final QuotaLender quotaLender;
     private final @Nullable DutyRunner dutyRunner;
     private final ClusterClock clock;
     private final ClusterUsage usage = ClusterUsage.create();
@@ -119,6 +120,8 @@
                         NodeCensus.create(settings.firstStart()),
                         this,
                         log);
+        quotaLender = new QuotaLender(loop, network, state.accountQuotas(), peers, run);
+        state.setQuotaLoans(quotaLender);
         quarantineSync =
                 new QuarantineSync(loop, store, network, state.quarantine(), peers::sendToAll, log);
         dutyRunner =
@@ -215,6 +218,7 @@
                 .append("carobdoor_gateway_configuration_revision ")
                 .append(mirror.configurationRevision())
                 .append('\n');
+        quotaLender.writeMetrics(to);
     }
 
     private StoreWatch watch(
@@ -284,6 +288,7 @@
         if (nodeListLoaded) {
             state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), now);
         }
+        quotaLender.updateZoneShare(peers.nodeCount());
         state.setClock(clock.millis(now), now);
         recentUsageWindows().forEach(w -> usage.report(run, w.window(), w.counts()));
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -243,6 +243,12 @@
         return silent;
     }
 
+    /** Returns the other runs of the zone of this node whose statuses arrive. */
+    List<String> heardInZone() {
+        long silence = ZONE_SILENCE_TIMEOUT_NANOS + StatusInterval.nanos(addresses.size() + 1);
+        return peerRuns.heardIn(ownZone, silence, System.nanoTime());
+    }
+
     /** Returns whether this node forwards the statuses of others. */
     boolean isRelay() {
         return exchange.isRelay();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/AccountQuotas.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/AccountQuotas.java
@@ -12,20 +12,28 @@
 import org.carobdoor.internal.deployment.Account;
 import org.carobdoor.internal.deployment.Configuration;
 import org.carobdoor.internal.deployment.QuotaLimit;
+import org.carobdoor.internal.peers.StatusInterval;
 import org.carobdoor.internal.quota.AccountQuota;
+import org.carobdoor.internal.quota.QuotaPool;
 import org.carobdoor.message.AccountUse;
 
 /** The quotas of the configured client accounts. Confined to the event loop. */
 public final class AccountQuotas {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    private static final double POOLED_FRACTION = 0.5;
+
     private final Map<ClientAccount, AccountQuota> quotas = new HashMap<>();
     private final long windowNanos;
     private final double tolerance;
     private final RandomGenerator random;
+    private final double poolExcess;
     private int nodeCount = 1;
+    private double zoneFraction;
 
-    private AccountQuotas(long windowNanos, double tolerance, RandomGenerator random) {
+    private AccountQuotas(
+            long windowNanos, double tolerance, double poolExcess, RandomGenerator random) {
+        this.poolExcess = poolExcess;
         this.random = random;
         this.tolerance = tolerance;
         this.windowNanos = windowNanos;
@@ -36,9 +44,11 @@
      *
      * @param windowNanos the length of the windows over which use is counted
      * @param tolerance the fraction of a quota by which its use may exceed it
+     * @param poolExcess the units by which a single request may overdraw the pool of a zone
      */
-    public static AccountQuotas create(long windowNanos, double tolerance, RandomGenerator random) {
-        return new AccountQuotas(windowNanos, tolerance, random);
+    public static AccountQuotas create(
+            long windowNanos, double tolerance, double poolExcess, RandomGenerator random) {
+        return new AccountQuotas(windowNanos, tolerance, poolExcess, random);
     }
 
     /** Applies the limits of a configuration. */
@@ -56,6 +66,7 @@
                                 AccountQuota.create(
                                         limit, tolerance, windowNanos, random, nowNanos);
                         quota.setNodes(nodeCount, nowNanos);
+                        quota.setPools(pools(), zoneFraction);
                         quotas.put(id, quota);
                     } else {
                         quota.setLimit(limit, nowNanos);
@@ -67,6 +78,25 @@
     public void setNodes(int count, long nowNanos) {
         nodeCount = count;
         quotas.values().forEach(q -> q.setNodes(count, nowNanos));
+        setZoneFraction(zoneFraction);
+    }
+
+    /**
+     * Returns whether a part of each quota is held in pools of the zones. In a small cluster the
+     * part of each node is large enough.
+     */
+    public boolean isPooled() {
+        return StatusInterval.isRelayed(nodeCount);
+    }
+
+    /** Sets the fraction of all nodes that are in the zone of this node. */
+    public void setZoneFraction(double fraction) {
+        zoneFraction = fraction;
+        quotas.values().forEach(q -> q.setPools(pools(), fraction));
+    }
+
+    private QuotaPool pools() {
+        return isPooled() ? new QuotaPool(POOLED_FRACTION, poolExcess) : QuotaPool.NONE;
     }
 
     /** Returns the quota of {@code account}, if it has one. */
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.zip.CRC32C;
+import org.carobdoor.ClientAccount;
 import org.carobdoor.Failure;
 import org.carobdoor.Result;
 import org.carobdoor.internal.deployment.Account;
@@ -227,31 +228,58 @@
                 account.flatMap(a -> state.accountQuotas().quota(a.id()))
                         .map(q -> q.tryTake(units, now))
                         .orElse(new QuotaDecision.Granted());
+        CallContext context =
+                new CallContext(
+                        state,
+                        exchange,
+                        request,
+                        route,
+                        service,
+                        account,
+                        features,
+                        quarantined instanceof QuarantineDecision.Trial,
+                        units,
+                        deadlineNanos(exchange, request, route));
         switch (decision) {
-            case QuotaDecision.Exceeded(long retryAfter) -> {
-                logQuotaExceeded(request, account, units, now);
-                refuse(exchange, request.id(), ErrorResponse.quotaExceeded(retryAfter));
-            }
-            case QuotaDecision.Granted() -> {
-                CallContext context =
-                        new CallContext(
-                                state,
-                                exchange,
-                                request,
-                                route,
-                                service,
-                                account,
-                                features,
-                                quarantined instanceof QuarantineDecision.Trial,
-                                units,
-                                deadlineNanos(exchange, request, route));
-                ForwardedCall call = new ForwardedCall(context, calls);
-                calls.add(call);
-                call.start();
-            }
+            case QuotaDecision.Granted() -> start(context);
+            case QuotaDecision.Exceeded(long retryAfter) -> refuseOverQuota(context, retryAfter);
+            case QuotaDecision.PartExceeded(long retryAfter) -> borrow(context, retryAfter);
         }
     }
 
+    private void start(CallContext context) {
+        ForwardedCall call = new ForwardedCall(context, calls);
+        calls.add(call);
+        call.start();
+    }
+
+    private void refuseOverQuota(CallContext context, long retryAfterMillis) {
+        logQuotaExceeded(context.request(), context.account(), context.units(), System.nanoTime());
+        refuse(
+                context.exchange(),
+                context.request().id(),
+                ErrorResponse.quotaExceeded(retryAfterMillis));
+    }
+
+    private void borrow(CallContext context, long retryAfterMillis) {
+        ClientAccount account = context.account().orElseThrow().id();
+        state.quotaLoans()
+                .borrow(
+                        account,
+                        context.units(),
+                        granted -> {
+                            if (granted && context.exchange().isEnded()) {
+                                state.accountQuotas()
+                                        .quota(account)
+                                        .ifPresent(q -> q.refund(context.units()));
+                            } else if (granted) {
+                                start(context);
+                            } else if (!context.exchange().isEnded()) {
+                                refuseOverQuota(context, retryAfterMillis);
+                            }
+                        });
+    }
+
     private static RequestFeatures features(
             Exchange exchange, CallerRequest request, Optional<Account> account) {
         return request.prompt()
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -36,6 +36,7 @@
     private final Map<String, Double> workMillis = new HashMap<>();
     private Optional<Configuration> configuration = Optional.empty();
     private Runnable onReady = () -> {};
+    private QuotaLoans quotaLoans = QuotaLoans.NONE;
     private boolean configured;
     private boolean ready;
 
@@ -175,6 +176,15 @@
         return accountQuotas;
     }
 
+    /** Sets where quota is borrowed from. */
+    public void setQuotaLoans(QuotaLoans loans) {
+        quotaLoans = loans;
+    }
+
+    QuotaLoans quotaLoans() {
+        return quotaLoans;
+    }
+
     /** Returns this node's usage counts. */
     public UsageCounts usage() {
         return usage;
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
@@ -11,6 +11,7 @@
  * @param usageWindow the length of the windows of the usage reports
  * @param quotaWindow the length of the windows over which quotas are counted
  * @param quotaTolerance the fraction of a quota by which all nodes together may exceed it
+ * @param quotaExcess the units by which all nodes together may exceed a quota besides
  * @param staleLimit the time after which a node whose connections have gone silent must be up to
  *     date with the store again
  * @param endpointHeartbeat the interval at which endpoints renew their entries in the store
@@ -24,6 +25,7 @@
         Duration usageWindow,
         Duration quotaWindow,
         double quotaTolerance,
+        double quotaExcess,
         Duration staleLimit,
         Duration endpointHeartbeat,
         boolean reportsUsage,
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -21,6 +21,7 @@
  */
 public final class GatewaySettingsLoader {
     private static final double MAX_RETRIES = 1e6;
+    private static final double MAX_QUOTA_EXCESS = 1e12;
 
     private GatewaySettingsLoader() {}
 
@@ -66,6 +67,7 @@
                 duration(table, "usage_window", Duration.ofSeconds(5)),
                 duration(table, "quota_window", Duration.ofSeconds(8)),
                 table.number("quota_tolerance", 0, 0, 1),
+                table.number("quota_excess", 0, 0, MAX_QUOTA_EXCESS),
                 duration(table, "stale_limit", Duration.ofSeconds(3)),
                 duration(table, "endpoint_heartbeat", EndpointDirectory.DEFAULT_HEARTBEAT),
                 duties.contains("usage"),
