Keep what was ordered across a change of the duty holder, and tell a cut from a reclaim

A cut zone was taken for a reclaim and on-demand engines were ordered for all of the load. Change: every node follows the plan of the holder without sending it; a new holder sends all counts again and lowers none until orders have booted. Unreachable engines that are still listed start no reclaim wave. On-demand engines that boot stay in their zone. The peak of a burst declines by its excess over the load.

--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -16,8 +16,14 @@
  * the most, and on-demand engines only replace what is missing: at the start, while reclaimable
  * engines boot, and while none are available.
  *
- * <p>The load is the engine time measured over the last seconds, with headroom for a burst. Not
- * thread-safe; confined to one thread.
+ * <p>The load is the engine time measured over the last seconds, with headroom for a burst.
+ *
+ * <p>Orders that are booting are listed nowhere, and an order sets a count: a node that takes over
+ * the duties within seconds of a reclaim and knows only the engines present would cancel the
+ * replacements. So every node follows the same plan without sending it ({@link #follow}), and a new
+ * holder lowers no count before what its predecessor ordered has booted ({@link #takeOver}).
+ *
+ * <p>Not thread-safe; confined to one thread.
  */
 public final class EngineFleetPolicy {
     /** Target utilisation of an engine, low enough that the prompts of a burst wait little. */
@@ -43,6 +49,9 @@
     /** Delay, in addition to the boot time, before an order that had no effect is repeated. */
     private static final long ORDER_REPEAT_NANOS = 3_000_000_000L;
 
+    /** Time in which an engine that has booted is listed as present. */
+    private static final long LISTING_NANOS = 1_500_000_000L;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double MILLIS_PER_SECOND = 1e3;
 
@@ -51,8 +60,16 @@
      *
      * @param onDemand on-demand engines that accept requests
      * @param reclaimable reclaimable engines that accept requests
+     * @param unreachable further reclaimable engines that are listed as accepting requests but
+     *     cannot be reached, as in a zone that is cut off; these were not reclaimed
      */
-    public record ZoneCount(int onDemand, int reclaimable) {}
+    public record ZoneCount(int onDemand, int reclaimable, int unreachable) {
+
+        /** Creates a count of engines that can all be reached. */
+        public ZoneCount(int onDemand, int reclaimable) {
+            this(onDemand, reclaimable, 0);
+        }
+    }
 
     /**
      * An order, which sets the number of engines that a zone should have.
@@ -66,7 +83,7 @@
 
     private record OrderKey(AvailabilityZone zone, boolean reclaimable) {}
 
-    private record SentOrder(int count, long repeatAtNanos) {}
+    private record SentOrder(int count, long listedAtNanos, long repeatAtNanos) {}
 
     private final Map<OrderKey, SentOrder> sentOrders = new HashMap<>();
     private final Map<OrderKey, Long> unavailableUntilNanos = new HashMap<>();
@@ -75,6 +92,8 @@
     private boolean reclaimWaveSeen;
     private long surplusSinceNanos;
     private boolean surplus;
+    private boolean holding;
+    private long holdUntilNanos;
 
     /** Returns a policy that has ordered nothing. */
     public static EngineFleetPolicy create() {
@@ -115,12 +134,12 @@
             ZoneCount z = e.getValue();
             reclaimable += z.reclaimable();
             onDemand += z.onDemand();
-            detectReclaimWave(e.getKey(), z.reclaimable(), nowNanos);
+            detectReclaimWave(e.getKey(), z.reclaimable() + z.unreachable(), nowNanos);
             // Reclaimable and on-demand engines share the maximum of a zone.
             int room = Math.max(0, bounds.maxPerZone() - z.onDemand());
             targets.add(new Target(e.getKey(), true, Math.min(perZone, room)));
         }
-        boolean inReclaimWave = reclaimWaveSeen && nowNanos - reclaimWaveUntilNanos < 0;
+        boolean inReclaimWave = inReclaimWave(nowNanos);
         // The engines of the other zones are often reclaimed within seconds, before new ones have
         // booted.
         int reliableReclaimable = inReclaimWave ? 0 : reclaimable;
@@ -128,14 +147,77 @@
         int missing = (int) Math.ceil(required - reliableReclaimable);
         updateSurplus(onDemand > Math.max(0, missing), nowNanos);
         boolean releaseSurplus = surplus && nowNanos - surplusSinceNanos >= RELEASE_DELAY_NANOS;
-        targets.addAll(onDemandTargets(bounds, zones, missing, perZone, releaseSurplus));
-        return targets.stream().filter(t -> isDue(t, zones, nowNanos)).toList();
+        targets.addAll(onDemandTargets(bounds, zones, missing, perZone, releaseSurplus, nowNanos));
+        return targets.stream()
+                .map(t -> withoutLowering(t, bounds, zones, nowNanos))
+                .filter(t -> isDue(t, zones, nowNanos))
+                .toList();
+    }
+
+    /**
+     * Plans as the holder of the duties does, and takes its orders for sent. The parameters are
+     * those of {@link #plan}.
+     */
+    public void follow(
+            FleetBounds bounds,
+            Map<AvailabilityZone, ZoneCount> zones,
+            int needed,
+            int neededNow,
+            long nowNanos) {
+        plan(bounds, zones, needed, neededNow, nowNanos).forEach(t -> ordered(t, bounds, nowNanos));
+    }
+
+    /**
+     * Records that this node now holds the duties. What the previous holder ordered may be booting,
+     * or may not have been sent: all counts that differ from the engines present are sent again,
+     * and none is lowered for the boot time.
+     */
+    public void takeOver(FleetBounds bounds, long nowNanos) {
+        sentOrders.replaceAll(
+                (k, order) -> new SentOrder(order.count(), order.listedAtNanos(), nowNanos));
+        holding = true;
+        holdUntilNanos = listedAtNanos(bounds, nowNanos);
+    }
+
+    private Target withoutLowering(
+            Target t, FleetBounds bounds, Map<AvailabilityZone, ZoneCount> zones, long nowNanos) {
+        if (!holding || nowNanos - holdUntilNanos >= 0) {
+            holding = false;
+            return t;
+        }
+        int booting = booting(new OrderKey(t.zone(), t.reclaimable()), nowNanos);
+        int atLeast = Math.max(present(t, zones), booting);
+        return new Target(
+                t.zone(),
+                t.reclaimable(),
+                Math.max(t.count(), Math.min(atLeast, bounds.maxPerZone())));
+    }
+
+    /**
+     * Returns what currently shapes the orders, for logs: {@code reclaim} if reclaimable engines
+     * are not counted on, {@code hold} if no count is lowered, otherwise {@code steady}.
+     */
+    public String mode(long nowNanos) {
+        if (inReclaimWave(nowNanos)) {
+            return "reclaim";
+        }
+        return holding && nowNanos - holdUntilNanos < 0 ? "hold" : "steady";
+    }
+
+    private boolean inReclaimWave(long nowNanos) {
+        return reclaimWaveSeen && nowNanos - reclaimWaveUntilNanos < 0;
     }
 
     /** Records that an order was sent. */
     public void ordered(Target t, FleetBounds bounds, long nowNanos) {
         long repeatAt = nowNanos + bounds.bootMillis() * NANOS_PER_MILLI + ORDER_REPEAT_NANOS;
-        sentOrders.put(new OrderKey(t.zone(), t.reclaimable()), new SentOrder(t.count(), repeatAt));
+        sentOrders.put(
+                new OrderKey(t.zone(), t.reclaimable()),
+                new SentOrder(t.count(), listedAtNanos(bounds, nowNanos), repeatAt));
+    }
+
+    private static long listedAtNanos(FleetBounds bounds, long orderedNanos) {
+        return orderedNanos + bounds.bootMillis() * NANOS_PER_MILLI + LISTING_NANOS;
     }
 
     /** Records that an order was not carried out and may be sent again. */
@@ -181,55 +263,81 @@
     }
 
     /**
-     * Distributes the missing engines over the zones, cheapest first; surplus engines are kept
-     * unless {@code releaseSurplus}.
+     * Distributes the missing engines over the zones: first over those that have on-demand engines
+     * or boot some, so that a change of a zone's reclaimable engines moves none of them elsewhere,
+     * then cheapest first. Surplus engines are kept unless {@code releaseSurplus}.
      */
-    private static List<Target> onDemandTargets(
+    private List<Target> onDemandTargets(
             FleetBounds bounds,
             Map<AvailabilityZone, ZoneCount> zones,
             int missing,
             int reclaimablePerZone,
-            boolean releaseSurplus) {
-        List<Map.Entry<AvailabilityZone, ZoneCount>> byPrice = new ArrayList<>(zones.entrySet());
+            boolean releaseSurplus,
+            long nowNanos) {
+        List<AvailabilityZone> byPrice = new ArrayList<>(zones.keySet());
         byPrice.sort(
                 Comparator.comparingDouble(
-                                (Map.Entry<AvailabilityZone, ZoneCount> e) ->
-                                        bounds.zonePrices().getOrDefault(e.getKey(), 1.0))
-                        .thenComparing(Map.Entry.comparingByKey()));
+                                (AvailabilityZone z) -> bounds.zonePrices().getOrDefault(z, 1.0))
+                        .thenComparing(Comparator.naturalOrder()));
+        Map<AvailabilityZone, Integer> held = new HashMap<>();
+        Map<AvailabilityZone, Integer> most = new HashMap<>();
+        Map<AvailabilityZone, Integer> mostHeld = new HashMap<>();
+        for (AvailabilityZone z : byPrice) {
+            ZoneCount count = zones.getOrDefault(z, new ZoneCount(0, 0));
+            // Both kinds share the maximum of a zone, so on-demand engines leave room for
+            // reclaimable ones that are present, or for one that can replace them.
+            int reserved = Math.max(count.reclaimable(), Math.min(1, reclaimablePerZone));
+            int room = Math.max(0, bounds.maxPerZone() - reserved);
+            held.put(z, Math.max(count.onDemand(), booting(new OrderKey(z, false), nowNanos)));
+            most.put(z, room);
+            mostHeld.put(z, Math.min(held.getOrDefault(z, 0), room));
+        }
         Map<AvailabilityZone, Integer> wanted = new HashMap<>();
-        int left = Math.max(0, missing);
+        int left = distribute(Math.max(0, missing), byPrice, mostHeld, wanted);
+        distribute(left, byPrice, most, wanted);
+        List<Target> targets = new ArrayList<>();
+        for (AvailabilityZone z : byPrice) {
+            int count = wanted.getOrDefault(z, 0);
+            int kept = releaseSurplus ? 0 : held.getOrDefault(z, 0);
+            ZoneCount present = zones.getOrDefault(z, new ZoneCount(0, 0));
+            int least = Math.max(0, bounds.minPerZone() - present.reclaimable());
+            targets.add(new Target(z, false, Math.max(least, Math.max(count, kept))));
+        }
+        return targets;
+    }
+
+    /**
+     * Adds {@code count} engines to {@code wanted}, one per zone in turn and at most {@code most}
+     * in each, and returns how many found no room.
+     */
+    private static int distribute(
+            int count,
+            List<AvailabilityZone> zones,
+            Map<AvailabilityZone, Integer> most,
+            Map<AvailabilityZone, Integer> wanted) {
+        int left = count;
         boolean added = true;
         while (left > 0 && added) {
             added = false;
-            for (Map.Entry<AvailabilityZone, ZoneCount> e : byPrice) {
-                // Both kinds share the maximum of a zone, so on-demand engines leave room for
-                // reclaimable ones that are present, or for one that can replace them.
-                int reserved =
-                        Math.max(e.getValue().reclaimable(), Math.min(1, reclaimablePerZone));
-                int planned = reserved + wanted.getOrDefault(e.getKey(), 0);
-                if (left > 0 && planned < bounds.maxPerZone()) {
-                    wanted.merge(e.getKey(), 1, Integer::sum);
+            for (AvailabilityZone z : zones) {
+                if (left > 0 && wanted.getOrDefault(z, 0) < most.getOrDefault(z, 0)) {
+                    wanted.merge(z, 1, Integer::sum);
                     left--;
                     added = true;
                 }
             }
         }
-        List<Target> targets = new ArrayList<>();
-        for (Map.Entry<AvailabilityZone, ZoneCount> e : byPrice) {
-            int count = wanted.getOrDefault(e.getKey(), 0);
-            int present = e.getValue().onDemand();
-            if (count < present && !releaseSurplus) {
-                count = present;
-            }
-            int least = Math.max(0, bounds.minPerZone() - e.getValue().reclaimable());
-            targets.add(new Target(e.getKey(), false, Math.max(least, count)));
-        }
-        return targets;
+        return left;
+    }
+
+    /** Returns the count of the last order if its engines may be booting, otherwise 0. */
+    private int booting(OrderKey key, long nowNanos) {
+        SentOrder last = sentOrders.get(key);
+        return last != null && nowNanos - last.listedAtNanos() < 0 ? last.count() : 0;
     }
 
     private boolean isDue(Target t, Map<AvailabilityZone, ZoneCount> zones, long nowNanos) {
-        ZoneCount z = zones.getOrDefault(t.zone(), new ZoneCount(0, 0));
-        int present = t.reclaimable() ? z.reclaimable() : z.onDemand();
+        int present = present(t, zones);
         OrderKey key = new OrderKey(t.zone(), t.reclaimable());
         SentOrder last = sentOrders.get(key);
         if (present == t.count() && (last == null || last.count() == t.count())) {
@@ -242,6 +350,11 @@
         return last == null || last.count() != t.count() || nowNanos - last.repeatAtNanos() >= 0;
     }
 
+    private static int present(Target t, Map<AvailabilityZone, ZoneCount> zones) {
+        ZoneCount z = zones.getOrDefault(t.zone(), new ZoneCount(0, 0));
+        return t.reclaimable() ? z.reclaimable() : z.onDemand();
+    }
+
     private static int ceilDiv(int a, int b) {
         return (a + b - 1) / b;
     }
--- a/core/src/main/java/org/carobdoor/internal/fleet/FleetDemand.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/FleetDemand.java
@@ -8,7 +8,8 @@
  * <p>Before any request has arrived, the fleet that the operator started is the best estimate, and
  * it is known only once all its engines are listed. A node that has just started in front of an
  * existing fleet must not derive a size from missing measurements, so it returns no estimate until
- * it has measured the load. Not thread-safe; confined to one thread.
+ * it has measured the load. Every node keeps the estimate, so that the peak is known to whichever
+ * node takes over the duties. Not thread-safe; confined to one thread.
  */
 public final class FleetDemand {
     /** Weight of the latest measurement in the mean; measurements arrive twice per second. */
@@ -24,10 +25,16 @@
     private static final long OBSERVATION_NANOS = 4_000_000_000L;
 
     /**
-     * Engines released per estimate while the load falls. The decline is slow because the cached
-     * prompts of a released engine are lost.
+     * Engines by which the peak falls per estimate while the load is lower. The decline is slow
+     * because the cached prompts of a released engine are lost.
      */
-    private static final double MAX_DECLINE_PER_ESTIMATE = 0.1;
+    private static final double DECLINE_PER_ESTIMATE = 0.1;
+
+    /**
+     * Fraction of what the peak exceeds the current load by that it falls per estimate, if that is
+     * more: the peak of a burst of seconds must not set the size of a large fleet for minutes.
+     */
+    private static final double EXCESS_DECLINE_PER_ESTIMATE = 0.03;
 
     /** Fraction of the engines of the last peak that are kept even during low load. */
     private static final double MIN_PEAK_FRACTION = 0.75;
@@ -40,6 +47,7 @@
      */
     public record Engines(int peak, int now) {}
 
+    private final double excessDecline;
     private double workMillisPerSecond;
     private int measurements;
     private double decayingPeak;
@@ -50,10 +58,17 @@
 
     /** Returns an estimator without any measurement. */
     public static FleetDemand create() {
-        return new FleetDemand();
+        return new FleetDemand(EXCESS_DECLINE_PER_ESTIMATE);
     }
 
-    private FleetDemand() {}
+    /** Returns an estimator whose peak falls at a constant rate, whatever its excess. */
+    static FleetDemand withConstantDecline() {
+        return new FleetDemand(0);
+    }
+
+    private FleetDemand(double excessDecline) {
+        this.excessDecline = excessDecline;
+    }
 
     /** Adds a measurement of the engine time of arriving requests, in milliseconds per second. */
     public void measured(double millisPerSecond) {
@@ -80,7 +95,8 @@
     public Optional<Engines> estimate(int onDemand, int reclaimable, long nowNanos) {
         if (measurements >= MIN_MEASUREMENTS) {
             int now = EngineFleetPolicy.enginesFor(workMillisPerSecond);
-            decayingPeak = Math.max(now, decayingPeak - MAX_DECLINE_PER_ESTIMATE);
+            double decline = Math.max(DECLINE_PER_ESTIMATE, excessDecline * (decayingPeak - now));
+            decayingPeak = Math.max(now, decayingPeak - decline);
             int peak = (int) Math.ceil(decayingPeak);
             return Optional.of(
                     new Engines(peak, Math.max(now, ceil(decayingPeak * MIN_PEAK_FRACTION))));
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
@@ -19,7 +19,8 @@
 
 /**
  * Measures the load of the services that can be scaled, and sets their number of endpoints while
- * this node holds the duties. Must be used on the event loop.
+ * this node holds the duties. Without the duties it follows the plan of the holder, so that it can
+ * go on from there. Must be used on the event loop.
  */
 final class FleetAutoscaler {
     /** Sends the cloud API calls of the duty holder. */
@@ -44,6 +45,7 @@
     private final Map<String, Double> workSinceTick = new HashMap<>();
     private long lastTickNanos = System.nanoTime();
     private int planCount;
+    private boolean wasHolder;
 
     FleetAutoscaler(ForwardingState state, Sender sender, String node, DecisionLog log) {
         this.state = state;
@@ -89,34 +91,42 @@
             if (s.fleet().isPresent()) {
                 FleetDemand demand = demands.computeIfAbsent(s.name(), n -> FleetDemand.create());
                 demand.measured(workSinceTick.getOrDefault(s.name(), 0.0) / seconds);
-                if (holder) {
-                    plan(s, s.fleet().get(), demand, now);
-                }
+                plan(s, s.fleet().get(), demand, holder, now);
             }
         }
         workSinceTick.clear();
+        wasHolder = holder;
     }
 
-    private void plan(Service service, FleetBounds bounds, FleetDemand demand, long now) {
+    private void plan(
+            Service service, FleetBounds bounds, FleetDemand demand, boolean holder, long now) {
         Map<AvailabilityZone, ZoneCount> zones = zoneCounts(service, bounds, now);
         int onDemand = zones.values().stream().mapToInt(ZoneCount::onDemand).sum();
         int reclaimable = zones.values().stream().mapToInt(ZoneCount::reclaimable).sum();
         Optional<FleetDemand.Engines> needed = demand.estimate(onDemand, reclaimable, now);
-        if (++planCount % PLANS_PER_LOG_LINE == 0) {
+        EngineFleetPolicy policy =
+                policies.computeIfAbsent(service.name(), s -> EngineFleetPolicy.create());
+        if (holder && !wasHolder) {
+            policy.takeOver(bounds, now);
+        }
+        if (holder && ++planCount % PLANS_PER_LOG_LINE == 0) {
             log.line("fleet.state")
                     .add("service", service.name())
                     .add("zones", '"' + zones.toString() + '"')
                     .add("needed", needed.map(FleetDemand.Engines::peak).orElse(-1))
                     .add("needed_now", needed.map(FleetDemand.Engines::now).orElse(-1))
                     .add("work_ms_per_s", Math.round(demand.workMillisPerSecond()))
+                    .add("mode", policy.mode(now))
                     .write();
         }
         if (needed.isEmpty()) {
             return;
         }
-        EngineFleetPolicy policy =
-                policies.computeIfAbsent(service.name(), s -> EngineFleetPolicy.create());
         FleetDemand.Engines engines = needed.get();
+        if (!holder) {
+            policy.follow(bounds, zones, engines.peak(), engines.now(), now);
+            return;
+        }
         for (EngineFleetPolicy.Target t :
                 policy.plan(bounds, zones, engines.peak(), engines.now(), now)) {
             requestScaling(service, bounds, policy, t);
@@ -128,20 +138,28 @@
         Map<AvailabilityZone, ZoneCount> zones = new TreeMap<>();
         bounds.zonePrices().keySet().forEach(z -> zones.put(z, new ZoneCount(0, 0)));
         for (EndpointLoad endpoint : state.endpoints().ofService(service.name())) {
-            if (endpoint.entry().accepting() && !endpoint.health().isUnreachable(now)) {
-                boolean reclaimable = endpoint.entry().reclaimable();
+            if (endpoint.entry().accepting()) {
                 zones.merge(
                         endpoint.entry().zone(),
-                        new ZoneCount(reclaimable ? 0 : 1, reclaimable ? 1 : 0),
-                        (a, b) ->
+                        countOf(endpoint, now),
+                        (x, y) ->
                                 new ZoneCount(
-                                        a.onDemand() + b.onDemand(),
-                                        a.reclaimable() + b.reclaimable()));
+                                        x.onDemand() + y.onDemand(),
+                                        x.reclaimable() + y.reclaimable(),
+                                        x.unreachable() + y.unreachable()));
             }
         }
         return zones;
     }
 
+    private static ZoneCount countOf(EndpointLoad endpoint, long now) {
+        boolean reachable = !endpoint.health().isUnreachable(now);
+        if (!endpoint.entry().reclaimable()) {
+            return new ZoneCount(reachable ? 1 : 0, 0);
+        }
+        return reachable ? new ZoneCount(0, 1) : new ZoneCount(0, 0, 1);
+    }
+
     private void requestScaling(
             Service service,
             FleetBounds bounds,
