--- a/core/src/test/java/org/carobdoor/internal/fleet/FleetReclaimTest.java
+++ b/core/src/test/java/org/carobdoor/internal/fleet/FleetReclaimTest.java
@@ -2,8 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Map;
 import java.util.function.DoubleUnaryOperator;
 import java.util.function.UnaryOperator;
+import org.carobdoor.AvailabilityZone;
+import org.carobdoor.internal.deployment.FleetBounds;
+import org.carobdoor.internal.fleet.EngineFleetPolicy.ZoneCount;
 import org.carobdoor.internal.fleet.FleetSimulation.Result;
 import org.carobdoor.internal.fleet.FleetSimulation.Rule;
 import org.junit.jupiter.api.Test;
@@ -41,7 +45,7 @@
         Result before = play(Rule.BEFORE, burst(6.5, 13), day);
         Result after = play(Rule.AFTER, burst(6.5, 13), day);
         assertThat(after.tooFewSeconds()).isAtMost(before.tooFewSeconds() / 2);
-        assertThat(after.price()).isAtMost(before.price());
+        assertThat(after.price()).isAtMost(0.97 * before.price());
     }
 
     @Test
@@ -49,7 +53,7 @@
         Result before = play(Rule.BEFORE, burst(6.5, 13), FleetReclaimTest::threeReclaims);
         Result after = play(Rule.AFTER, burst(6.5, 13), FleetReclaimTest::threeReclaims);
         assertThat(after.tooFewSeconds()).isAtMost(before.tooFewSeconds());
-        assertThat(after.price()).isAtMost(before.price());
+        assertThat(after.price()).isAtMost(0.97 * before.price());
     }
 
     @Test
@@ -57,6 +61,7 @@
         Result before = play(Rule.BEFORE, burst(10, 13), s -> s);
         Result after = play(Rule.AFTER, burst(10, 13), s -> s);
         assertThat(after.price()).isAtMost(before.price());
+        assertThat(after.onDemandEngines()).isEqualTo(0);
         assertThat(after.tooFewSeconds()).isEqualTo(0);
     }
 
@@ -70,12 +75,33 @@
         assertThat(after.engines()).isAtMost(before.engines() + 3);
     }
 
+    @Test
+    void lossOfAnyZoneLeavesEnoughAtUnequalPrices() {
+        for (AvailabilityZone zone : FleetSimulation.BOUNDS.zonePrices().keySet()) {
+            Result r = play(Rule.AFTER, t -> 5_000, s -> s.reclaim(zone, START + 10));
+            assertThat(r.tooFewSeconds()).isEqualTo(0);
+        }
+    }
+
     @Test
     void newNodeThatKnowsOnlyWhatIsPresentLowersNothing() {
         UnaryOperator<FleetSimulation> day = s -> threeReclaims(s).takeOver(START + 5.5, true);
         Result before = play(Rule.BEFORE, burst(6.5, 13), day);
         Result after = play(Rule.AFTER, burst(6.5, 13), day);
         assertThat(after.tooFewSeconds()).isAtMost(before.tooFewSeconds());
+        assertThat(after.price()).isAtMost(0.95 * before.price());
+    }
+
+    @Test
+    void newHolderLowersNoCountWhileOrdersMayBoot() {
+        EngineFleetPolicy policy = EngineFleetPolicy.create();
+        FleetBounds bounds = FleetSimulation.BOUNDS;
+        ZoneCount six = new ZoneCount(2, 6);
+        Map<AvailabilityZone, ZoneCount> zones =
+                Map.of(FleetSimulation.A, six, FleetSimulation.B, six, FleetSimulation.C, six);
+        policy.takeOver(bounds, 0);
+        assertThat(policy.plan(bounds, zones, 4, 4, 5 * FleetSimulation.SECOND)).isEmpty();
+        assertThat(policy.plan(bounds, zones, 4, 4, 6 * FleetSimulation.SECOND)).isNotEmpty();
     }
 
     @Test
--- a/core/src/test/java/org/carobdoor/internal/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/carobdoor/internal/fleet/FleetSimulation.java
@@ -42,7 +42,17 @@
         AFTER
     }
 
-    record Result(double price, double tooFewSeconds, int engines, int reclaimableOrders) {}
+    /**
+     * What was played.
+     *
+     * @param onDemandEngines on-demand engines ordered since the load began
+     */
+    record Result(
+            double price,
+            double tooFewSeconds,
+            int engines,
+            int onDemandEngines,
+            int reclaimableOrders) {}
 
     private record Engine(
             AvailabilityZone zone, boolean reclaimable, double readyAt, double endAt) {
@@ -72,6 +82,7 @@
     private double takeOverAt = Double.MAX_VALUE;
     private boolean successorIsNew;
     private int engineCount;
+    private int onDemandCount;
     private int reclaimableOrders;
 
     FleetSimulation(Rule rule, DoubleUnaryOperator load) {
@@ -137,7 +148,7 @@
                     engines.stream().filter(e -> e.serves(now) && !isCut(e.zone(), now)).count();
             tooFew += serving * CAPACITY < work ? TICK : 0;
         }
-        return new Result(price, tooFew, engineCount, reclaimableOrders);
+        return new Result(price, tooFew, engineCount, onDemandCount, reclaimableOrders);
     }
 
     private void tick(Node n, double work, boolean holds, boolean takesOver, double t) {
@@ -207,6 +218,7 @@
                             t + BOUNDS.bootMillis() / 1e3 + LISTING,
                             Double.MAX_VALUE));
             engineCount++;
+            onDemandCount += o.reclaimable() || t < START ? 0 : 1;
         }
         kind.subList(Math.min(o.count(), kind.size()), kind.size()).forEach(engines::remove);
         return true;
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -215,6 +215,9 @@
                 .append("carobdoor_gateway_configuration_revision ")
                 .append(mirror.configurationRevision())
                 .append('\n');
+        if (dutyRunner != null) {
+            dutyRunner.autoscaler().metrics().appendTo(to);
+        }
     }
 
     private StoreWatch watch(
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
@@ -16,6 +16,7 @@
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.platform.CloudCalls;
 import org.carobdoor.platform.HttpCall;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Measures the load of the services that can be scaled, and sets their number of endpoints while
@@ -41,6 +42,7 @@
     private final DecisionLog log;
     private final Map<String, EngineFleetPolicy> policies = new HashMap<>();
     private final Map<String, FleetDemand> demands = new HashMap<>();
+    private final FleetMetrics metrics = new FleetMetrics();
     private final Map<String, Map<String, Long>> workMillisByRun = new HashMap<>();
     private final Map<String, Double> workSinceTick = new HashMap<>();
     private long lastTickNanos = System.nanoTime();
@@ -72,6 +74,11 @@
                 });
     }
 
+    /** Returns what the last plans were based on. */
+    FleetMetrics metrics() {
+        return metrics;
+    }
+
     /** Discards the recorded work of a run that has ended. */
     void removeRun(String run) {
         workMillisByRun.remove(run);
@@ -104,6 +111,7 @@
         int onDemand = zones.values().stream().mapToInt(ZoneCount::onDemand).sum();
         int reclaimable = zones.values().stream().mapToInt(ZoneCount::reclaimable).sum();
         Optional<FleetDemand.Engines> needed = demand.estimate(onDemand, reclaimable, now);
+        metrics.update(service.name(), zones, needed, demand.workMillisPerSecond());
         EngineFleetPolicy policy =
                 policies.computeIfAbsent(service.name(), s -> EngineFleetPolicy.create());
         if (holder && !wasHolder) {
@@ -129,7 +137,7 @@
         }
         for (EngineFleetPolicy.Target t :
                 policy.plan(bounds, zones, engines.peak(), engines.now(), now)) {
-            requestScaling(service, bounds, policy, t);
+            requestScaling(service, bounds, policy, t, zones.get(t.zone()));
         }
     }
 
@@ -164,7 +172,9 @@
             Service service,
             FleetBounds bounds,
             EngineFleetPolicy policy,
-            EngineFleetPolicy.Target t) {
+            EngineFleetPolicy.Target t,
+            @Nullable ZoneCount present) {
+        String mode = policy.mode(System.nanoTime());
         policy.ordered(t, bounds, System.nanoTime());
         long fencingToken = sender.fencingToken();
         HttpCall call =
@@ -179,6 +189,8 @@
                             .add("zone", t.zone())
                             .add("reclaimable", t.reclaimable())
                             .add("count", t.count())
+                            .add("present", '"' + String.valueOf(present) + '"')
+                            .add("mode", mode)
                             .add("fence", fencingToken)
                             .add("status", status)
                             .write();
