--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -219,6 +219,9 @@
                 .append(mirror.configurationRevision())
                 .append('\n');
         quotaLender.writeMetrics(to);
+        if (dutyRunner != null) {
+            dutyRunner.autoscaler().metrics().appendTo(to);
+        }
     }
 
     private StoreWatch watch(
