--- a/core/src/main/java/org/carobdoor/internal/peers/PeerRuns.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/PeerRuns.java
@@ -90,6 +90,18 @@
         return ended;
     }
 
+    /** Returns the runs that were heard from, but not for {@code silenceNanos}. */
+    public Set<String> silentRuns(long silenceNanos, long nowNanos) {
+        Set<String> silent = new HashSet<>();
+        runs.forEach(
+                (run, r) -> {
+                    if (r.heard && nowNanos - r.heardAtNanos >= silenceNanos) {
+                        silent.add(run);
+                    }
+                });
+        return silent;
+    }
+
     /** Returns whether a recent status was received from every known run. */
     public boolean allHeard(long nowNanos) {
         return runs.values().stream().allMatch(r -> r.isHeard(nowNanos));
--- a/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
@@ -102,6 +102,21 @@
         return relay;
     }
 
+    /**
+     * Returns which nodes watch the store for others.
+     *
+     * @param silent the runs from which nothing was heard recently
+     */
+    public StoreReaderPlan storeReaders(Set<String> silent) {
+        return StoreReaderPlan.of(ownRun, ownZone, plannedPeers(), silent);
+    }
+
+    private List<RelayPlan.Peer> plannedPeers() {
+        List<RelayPlan.Peer> planned = new ArrayList<>();
+        peers.forEach((run, p) -> planned.add(new RelayPlan.Peer(run, p.zone)));
+        return planned;
+    }
+
     /** Returns the interval between two calls of {@link #next}. */
     public long intervalNanos() {
         return StatusInterval.sendNanos(peers.size() + 1);
@@ -121,9 +136,7 @@
             NodeStatus status = changes.next(own, nodesStart, false, false);
             return peers.keySet().stream().map(run -> new Outgoing(run, status)).toList();
         }
-        List<RelayPlan.Peer> others = new ArrayList<>();
-        peers.forEach((run, p) -> others.add(new RelayPlan.Peer(run, p.zone)));
-        RelayPlan plan = RelayPlan.of(ownRun, ownZone, others);
+        RelayPlan plan = RelayPlan.of(ownRun, ownZone, plannedPeers());
         relay = plan.relay();
         boolean unserved = nowNanos - servedNanos > (long) (intervalNanos() * SILENT_INTERVALS);
         NodeStatus status = changes.next(own, nodesStart, true, unserved);
