--- /dev/null
+++ b/core/src/test/java/org/carobdoor/internal/peers/StoreReaderPlanTest.java
@@ -0,0 +1,75 @@
+package org.carobdoor.internal.peers;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.carobdoor.AvailabilityZone;
+import org.carobdoor.message.NodeStatus;
+import org.junit.jupiter.api.Test;
+
+/** Guards against zones without readers, and nodes that none or too many of them serve. */
+final class StoreReaderPlanTest {
+    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
+
+    private static List<String> runs(int count) {
+        List<String> runs = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            runs.add(NodeStatus.runOf("front-" + i, 1));
+        }
+        return runs;
+    }
+
+    private static void assertServed(List<String> live, Set<String> silent) {
+        List<String> all = new ArrayList<>(live);
+        all.addAll(silent);
+        int readers = 0;
+        List<String> served = new ArrayList<>();
+        for (String run : live) {
+            StoreReaderPlan plan = StoreReaderPlan.of(run, all, silent);
+            readers += plan.reader() ? 1 : 0;
+            served.addAll(plan.served());
+            if (plan.reader()) {
+                Set<String> told = new HashSet<>(plan.served());
+                told.addAll(plan.informed());
+                assertThat(told).hasSize(all.size() - 1);
+                assertThat(plan.served().size()).isAtMost((all.size() + 1) / 2);
+            }
+        }
+        assertThat(readers).isEqualTo(Math.min(2, live.size()));
+        assertThat(served).containsNoDuplicates();
+        assertThat(served).hasSize(all.size() - readers);
+    }
+
+    @Test
+    void twoReadersTellAllNodesAndShareTheItems() {
+        for (int count : new int[] {1, 2, 3, 9, 46}) {
+            assertServed(runs(count), Set.of());
+        }
+    }
+
+    @Test
+    void silentReadersAreReplaced() {
+        List<String> live = new ArrayList<>(runs(44));
+        Set<String> silent = new HashSet<>();
+        for (String run : runs(44)) {
+            if (StoreReaderPlan.of(run, runs(44), Set.of()).reader()) {
+                live.remove(run);
+                silent.add(run);
+            }
+        }
+        assertThat(silent).hasSize(2);
+        assertServed(live, silent);
+    }
+
+    @Test
+    void smallClustersHaveNoReaders() {
+        List<RelayPlan.Peer> others = new ArrayList<>();
+        runs(24).forEach(r -> others.add(new RelayPlan.Peer(r, ZONE)));
+        assertThat(StoreReaderPlan.of("own@1", ZONE, others, Set.of()).relayed()).isTrue();
+        assertThat(StoreReaderPlan.of("own@1", ZONE, others.subList(1, 24), Set.of()))
+                .isEqualTo(StoreReaderPlan.NONE);
+    }
+}
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -14,9 +14,11 @@
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
 import org.carobdoor.internal.peers.NodeCensus;
+import org.carobdoor.internal.store.NewsFollower;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
+import org.carobdoor.internal.store.WatchMode;
 import org.carobdoor.internal.store.WatchSchedule;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.UsageWindow;
@@ -50,6 +52,12 @@
 
     private static final long MAX_BATCH_DELAY_MILLIS = 500;
 
+    /** A node that watches for others adds to their delay, and few nodes do. */
+    private static final long READER_BATCH_DELAY_MILLIS = 200;
+
+    /** The stale limit of a node that watches for others, which rely on its recent replies. */
+    private static final Duration READER_STALE_LIMIT = Duration.ofMillis(1_300);
+
     private static final long TICK_INTERVAL_MILLIS = 200;
 
     private static final long RETRY_SUMMARY_INTERVAL_MILLIS = 1_000;
@@ -73,6 +81,8 @@
     private final DecisionLog log;
     private final String run;
     private final long startedAtMillis;
+    private final StoreNewsExchange storeNews;
+    private final RandomGenerator random;
     private final StoreWatch configurationWatch;
     private final StoreWatch endpointWatch;
     private final StoreWatch nodeKeysWatch;
@@ -139,6 +149,8 @@
                                                 peers::allPeersReporting,
                                                 log))
                         .orElse(null);
+        this.random = random;
+        storeNews = new StoreNewsExchange(loop, network, peers::storeReaders, log);
         Duration staleLimit = settings.bounds().staleLimit();
         configurationWatch =
                 watch(
@@ -168,6 +180,7 @@
         configurationWatch.start();
         endpointWatch.start();
         nodeKeysWatch.start();
+        storeNews.start();
         peers.start();
         quarantineSync.start();
         if (dutyRunner != null) {
@@ -215,6 +228,7 @@
                 .append("carobdoor_gateway_configuration_revision ")
                 .append(mirror.configurationRevision())
                 .append('\n');
+        storeNews.writeMetrics(to);
     }
 
     private StoreWatch watch(
@@ -222,7 +236,25 @@
             WatchSchedule schedule,
             LongSupplier batchDelayMillis,
             StoreWatch.Listener listener) {
-        return new StoreWatch(loop, store, prefix, schedule, batchDelayMillis, listener, log);
+        StoreFeed feed =
+                new StoreFeed(
+                        prefix,
+                        NewsFollower.create(random),
+                        schedule,
+                        schedule(READER_STALE_LIMIT),
+                        () -> 0,
+                        listener,
+                        log);
+        LongSupplier delay =
+                () ->
+                        feed.mode() == WatchMode.READING
+                                ? Math.min(
+                                        READER_BATCH_DELAY_MILLIS, batchDelayMillis.getAsLong())
+                                : batchDelayMillis.getAsLong();
+        StoreWatch watch = new StoreWatch(loop, store, prefix, schedule, delay, feed, log);
+        feed.setWatch(watch);
+        storeNews.add(feed);
+        return watch;
     }
 
     /** Checks the watch with the longest waits if another one had no reply. */
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -20,6 +20,7 @@
 import org.carobdoor.internal.peers.PeerRuns;
 import org.carobdoor.internal.peers.StatusExchange;
 import org.carobdoor.internal.peers.StatusInterval;
+import org.carobdoor.internal.peers.StoreReaderPlan;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.PeerMessage;
@@ -71,6 +72,9 @@
     /** How long after its listing a peer counts as new; covers several statuses. */
     private static final long NEW_PEER_PERIOD_NANOS = 3_000_000_000L;
 
+    /** Time without a status after which a node is not expected to watch the store for others. */
+    private static final long READER_SILENCE_NANOS = 4_500_000_000L;
+
     private final EventLoop loop;
     private final StoreClient store;
     private final TcpPeerNetwork network;
@@ -243,6 +247,11 @@
         return silent;
     }
 
+    /** Returns which nodes watch the store for others. */
+    StoreReaderPlan storeReaders(long nowNanos) {
+        return exchange.storeReaders(peerRuns.silentRuns(READER_SILENCE_NANOS, nowNanos));
+    }
+
     /** Returns whether this node forwards the statuses of others. */
     boolean isRelay() {
         return exchange.isRelay();
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -38,13 +38,14 @@
     private final EventLoop loop;
     private final StoreClient store;
     private final String prefix;
-    private final WatchSchedule schedule;
+    private WatchSchedule schedule;
     private final LongSupplier batchDelayMillis;
     private final Listener listener;
     private final DecisionLog log;
     private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     private boolean storeUnavailable;
     private boolean replyPending;
+    private boolean paused;
     private long callNumber;
     private long revision;
 
@@ -77,11 +78,35 @@
         readPages(new ArrayList<>(), "", Long.MAX_VALUE);
     }
 
+    /** Sets how long the next calls wait. */
+    void setSchedule(WatchSchedule newSchedule) {
+        schedule = newSchedule;
+    }
+
+    /** Makes no calls until {@link #resume}; a pending reply is ignored. */
+    void pause() {
+        paused = true;
+        replyPending = false;
+        callNumber++;
+    }
+
+    /** Watches again, for changes after {@code knownRevision}. */
+    void resume(long knownRevision) {
+        if (paused) {
+            paused = false;
+            revision = knownRevision;
+            awaitChanges();
+        }
+    }
+
     private void readPages(List<StoreItem> previousItems, String afterKey, long firstRevision) {
         store.range(
                 prefix,
                 afterKey,
                 answer -> {
+                    if (paused) {
+                        return;
+                    }
                     switch (answer) {
                         case StoreAnswer.Page(
                                         List<StoreItem> items,
@@ -137,10 +162,7 @@
                             if (changes.isEmpty()) {
                                 awaitChanges();
                             } else {
-                                loop.schedule(
-                                        this::awaitChanges,
-                                        batchDelayMillis.getAsLong(),
-                                        TimeUnit.MILLISECONDS);
+                                callLater(this::awaitChanges, batchDelayMillis.getAsLong());
                             }
                         }
                         case StoreAnswer.HistoryGone() -> {
@@ -178,7 +200,20 @@
         }
         schedule.restart(System.nanoTime());
         listener.callFailed(answer);
-        loop.schedule(retryTask, retryDelayMillis, TimeUnit.MILLISECONDS);
+        callLater(retryTask, retryDelayMillis);
         retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
     }
+
+    /** Runs {@code task} after the delay, unless the watch was paused in the meantime. */
+    private void callLater(Runnable task, long delayMillis) {
+        long number = callNumber;
+        loop.schedule(
+                () -> {
+                    if (number == callNumber) {
+                        task.run();
+                    }
+                },
+                delayMillis,
+                TimeUnit.MILLISECONDS);
+    }
 }
