--- a/core/src/test/java/org/carobdoor/internal/peers/StoreReadersTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/StoreReadersTest.java
@@ -132,8 +132,7 @@
         private final String run;
         private final int zone;
         private final PrefixCopy copy = PrefixCopy.create("servers/");
-        private final NewsFollower follower =
-                NewsFollower.create(RandomGenerator.getDefault());
+        private final NewsFollower follower = NewsFollower.create(RandomGenerator.getDefault());
         private final List<Runnable> held = new ArrayList<>();
         private StoreReaderPlan plan = StoreReaderPlan.NONE;
         private boolean dead;
@@ -312,8 +311,7 @@
             switch (copy.receive(news)) {
                 case NewsOutcome.Gap g -> follower.recordGap(from, news.revision(), cluster.now);
                 case NewsOutcome.Unusable u -> {}
-                default ->
-                        follower.recordProof(copy.revision(), news.ageMillis(), cluster.now);
+                default -> follower.recordProof(copy.revision(), news.ageMillis(), cluster.now);
             }
             assertThat(copy.revision()).isAtLeast(before);
         }
--- a/core/src/test/java/org/carobdoor/internal/store/PrefixCopyTest.java
+++ b/core/src/test/java/org/carobdoor/internal/store/PrefixCopyTest.java
@@ -37,8 +37,7 @@
         StoreNews news = sender.newsAfter(5, 0);
 
         assertThat(receiver.receive(news))
-                .isEqualTo(
-                        new NewsOutcome.Applied(List.of(new StoreChange.Deleted("a", 7)), 9));
+                .isEqualTo(new NewsOutcome.Applied(List.of(new StoreChange.Deleted("a", 7)), 9));
         assertThat(receiver.receive(news)).isEqualTo(new NewsOutcome.Applied(List.of(), 9));
     }
 
@@ -84,8 +83,7 @@
         assertThat(receiver.receive(complete(2, 3, written("a", 1), written("d", 3))))
                 .isInstanceOf(NewsOutcome.Replaced.class);
         assertThat(receiver.revision()).isEqualTo(3);
-        assertThat(receiver.receive(sender.newsAfter(5, 0)))
-                .isEqualTo(new NewsOutcome.Unusable());
+        assertThat(receiver.receive(sender.newsAfter(5, 0))).isEqualTo(new NewsOutcome.Unusable());
     }
 
     /** Copies that hear any subset of messages, in any order, agree with the store in the end. */
@@ -109,7 +107,7 @@
             assertThat(far.revision()).isAtLeast(before);
         }
         far.receive(sender.newsAfter(far.revision(), 0));
-        assertThat(far.newsAfter(0, 0).items()).containsExactlyElementsIn(
-                sender.newsAfter(0, 0).items());
+        assertThat(far.newsAfter(0, 0).items())
+                .containsExactlyElementsIn(sender.newsAfter(0, 0).items());
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -248,8 +248,7 @@
         LongSupplier delay =
                 () ->
                         feed.mode() == WatchMode.READING
-                                ? Math.min(
-                                        READER_BATCH_DELAY_MILLIS, batchDelayMillis.getAsLong())
+                                ? Math.min(READER_BATCH_DELAY_MILLIS, batchDelayMillis.getAsLong())
                                 : batchDelayMillis.getAsLong();
         StoreWatch watch = new StoreWatch(loop, store, prefix, schedule, delay, feed, log);
         feed.setWatch(watch);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreNewsExchange.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreNewsExchange.java
@@ -46,8 +46,7 @@
         this.planner = planner;
         this.log = log;
         network.handleNonBlocking(
-                StoreNews.class,
-                (from, news) -> loop.execute(() -> receive(from.value(), news)));
+                StoreNews.class, (from, news) -> loop.execute(() -> receive(from.value(), news)));
         network.handleNonBlocking(
                 StoreNewsRequest.class, (from, r) -> loop.execute(() -> answer(from, r)));
     }
