--- a/core/src/main/java/org/carobdoor/internal/store/NewsFollower.java
+++ b/core/src/main/java/org/carobdoor/internal/store/NewsFollower.java
@@ -108,7 +108,12 @@
         return proven ? nowNanos - provenNanos : -1;
     }
 
-    /** Records that {@code sender} has changes up to {@code revision} that this node missed. */
+    /**
+     * Records that {@code sender} has changes up to {@code revision} that this node missed.
+     *
+     * @param revision a revision of the era of the copy; {@link Long#MAX_VALUE} if the sender knows
+     *     a later era
+     */
     public void recordGap(String sender, long revision, long nowNanos) {
         if (gapSender == null) {
             requestAtNanos = nowNanos + GAP_WAIT_NANOS;
@@ -117,8 +122,20 @@
         gapSender = sender;
     }
 
-    /** Returns the node to ask now for the missed changes. */
-    public Optional<String> nextRequest(long nowNanos) {
+    /** Records that the copy was replaced by a complete list. */
+    public void recordComplete() {
+        gapSender = null;
+    }
+
+    /**
+     * Returns the node to ask now for the missed changes.
+     *
+     * @param revision the revision of the copy
+     */
+    public Optional<String> nextRequest(long revision, long nowNanos) {
+        if (revision >= gapRevision) {
+            gapSender = null;
+        }
         if (gapSender == null || nowNanos - requestAtNanos < 0) {
             return Optional.empty();
         }
--- a/core/src/test/java/org/carobdoor/internal/peers/StoreReadersTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/StoreReadersTest.java
@@ -219,7 +219,7 @@
             } else if (mode == WatchMode.SERVED) {
                 callNumber++;
             }
-            follower.nextRequest(cluster.now).ifPresent(this::request);
+            follower.nextRequest(copy.revision(), cluster.now).ifPresent(this::request);
         }
 
         private void request(String from) {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreFeed.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreFeed.java
@@ -102,7 +102,9 @@
         if (mode != before) {
             changeMode(before, mode, nowNanos);
         }
-        return follower.isRelayed() ? follower.nextRequest(nowNanos) : Optional.empty();
+        return follower.isRelayed()
+                ? follower.nextRequest(copy.revision(), nowNanos)
+                : Optional.empty();
     }
 
     private void changeMode(WatchMode before, WatchMode mode, long nowNanos) {
@@ -158,10 +160,15 @@
                 listener.changed(changes, revision);
             }
             case NewsOutcome.Replaced(List<StoreItem> items, long revision) -> {
+                follower.recordComplete();
                 recordProof(news, nowNanos);
                 listener.loaded(items, revision);
             }
-            case NewsOutcome.Gap g -> follower.recordGap(from, news.revision(), nowNanos);
+            case NewsOutcome.Gap g ->
+                    follower.recordGap(
+                            from,
+                            news.era() > copy.era() ? Long.MAX_VALUE : news.revision(),
+                            nowNanos);
             case NewsOutcome.Unusable u -> {}
         }
     }
@@ -179,6 +186,9 @@
             publishFromNanos = System.nanoTime() + FIRST_PUBLISH_DELAY_NANOS;
         }
         NewsOutcome outcome = copy.load(storeEra.getAsLong(), items, revision);
+        if (outcome instanceof NewsOutcome.Replaced) {
+            follower.recordComplete();
+        }
         if (!follower.isRelayed() || outcome instanceof NewsOutcome.Replaced) {
             listener.loaded(items, revision);
         }
