--- a/core/src/main/java/org/carobdoor/message/VersionEvidence.java
+++ b/core/src/main/java/org/carobdoor/message/VersionEvidence.java
@@ -11,7 +11,8 @@
  * @param route the route of the requests
  * @param answers the number of answers, including failures
  * @param failures the number of failures
- * @param latencyCounts the number of answers by the binary logarithm of their time in milliseconds
+ * @param latencyCounts the number of answers by the binary logarithm of their time in milliseconds,
+ *     in steps of a quarter
  */
 public record VersionEvidence(
         String service,
