Roll out versions of a service on the operator's order

An order at op/rollout was not read, and all versions were used alike. The duty holder now tries, widens, completes or rolls back a version; its state is in the store, nodes follow it and stop a version that their own evidence calls bad. Candidates of a request are limited to the version that it goes to. Takes effect only where the exposure limits are set. Measured: end-to-end test with the stand-ins rolls back a failing version, which gets no request afterwards, and completes a sound one within its deadline.

--- a/core/src/main/java/org/carobdoor/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/Rollout.java
@@ -76,20 +76,29 @@
         List<String> old = new ArrayList<>(acceptingVersions);
         old.remove(order.to());
         old.removeAll(barred);
-        boolean valid = order.problem().isEmpty();
+        RolloutPhase phase = RolloutPhase.TRYING;
+        double share = bounds.exposureShare() * USED_EXPOSURE;
+        if (order.problem().isPresent()) {
+            phase = RolloutPhase.ROLLED_BACK;
+            share = 0;
+        } else if (old.isEmpty() && acceptingVersions.contains(order.to())) {
+            // There is nothing to move.
+            phase = RolloutPhase.COMPLETED;
+            share = 1;
+        }
         return new RolloutState(
                 order.service(),
                 order.to(),
                 order.revision(),
                 order.durationMillis(),
                 seenMillis + order.durationMillis(),
-                valid ? RolloutPhase.TRYING : RolloutPhase.ROLLED_BACK,
+                phase,
                 nowMillis,
-                valid ? bounds.exposureShare() * USED_EXPOSURE : 0,
+                share,
                 old,
                 barred,
                 AnswerCounts.NONE,
-                order.problem().orElse("ordered"));
+                order.problem().orElse(share < 1 ? "ordered" : "in use"));
     }
 
     /** Returns the versions that get no requests after {@code state}, in a new list. */
@@ -98,7 +107,8 @@
             return new ArrayList<>();
         }
         List<String> barred = new ArrayList<>(state.barred());
-        if (state.phase() != RolloutPhase.COMPLETED && !barred.contains(state.to())) {
+        boolean used = state.phase() == RolloutPhase.COMPLETED || state.to().isEmpty();
+        if (!used && !barred.contains(state.to())) {
             barred.add(state.to());
         }
         return barred;
--- a/core/src/main/java/org/carobdoor/internal/rollout/RolloutBounds.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/RolloutBounds.java
@@ -1,12 +1,9 @@
 package org.carobdoor.internal.rollout;
 
-import java.time.Duration;
-
 /**
- * The limits that the platform sets for a version that turns out to be bad.
+ * The requests that a version which turns out to be bad may get from the order to its deadline.
  *
- * @param exposureShare the fraction of a service's requests that the version may get
+ * @param exposureShare the fraction of the service's requests that it may get
  * @param exposureSlack the requests that it may get beyond this fraction
- * @param rollbackLimit the time after its 50th bad answer from which it may get no more requests
  */
-public record RolloutBounds(double exposureShare, long exposureSlack, Duration rollbackLimit) {}
+public record RolloutBounds(double exposureShare, long exposureSlack) {}
--- a/core/src/main/java/org/carobdoor/internal/rollout/RolloutJudge.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/RolloutJudge.java
@@ -50,6 +50,18 @@
         return new RolloutJudge(service, newVersion);
     }
 
+    /** Returns a judge of the same version that counts only the answers from now on. */
+    public RolloutJudge restarted() {
+        RolloutJudge next = new RolloutJudge(service, newVersion);
+        next.last.putAll(last);
+        return next;
+    }
+
+    /** Returns the version that is judged. */
+    public String newVersion() {
+        return newVersion;
+    }
+
     /** Sets the versions to compare with; all others but the new one if there are none. */
     public void setOldVersions(List<String> versions) {
         oldVersions.clear();
--- a/core/src/main/java/org/carobdoor/internal/rollout/VersionCounts.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/VersionCounts.java
@@ -33,13 +33,27 @@
     private final Map<Key, Counts> counts = new HashMap<>();
     private final Map<EndpointId, Long> lastCrashNanos = new HashMap<>();
 
+    private final boolean enabled;
+
+    private VersionCounts(boolean enabled) {
+        this.enabled = enabled;
+    }
+
     /** Returns an instance without answers. */
     public static VersionCounts create() {
-        return new VersionCounts();
+        return new VersionCounts(true);
+    }
+
+    /** Returns an instance that counts nothing. */
+    public static VersionCounts disabled() {
+        return new VersionCounts(false);
     }
 
     /** Records an answer, or the first event of a stream, that took {@code millis}. */
     public void recordAnswer(EndpointEntry endpoint, String route, double millis, boolean failed) {
+        if (!enabled) {
+            return;
+        }
         Counts c = counts(endpoint, route);
         c.answers++;
         c.latencies[LatencyBuckets.of(millis)]++;
@@ -59,6 +73,9 @@
      * @param begun whether the answer was recorded before
      */
     public void recordBroken(EndpointEntry endpoint, String route, boolean begun, long nowNanos) {
+        if (!enabled) {
+            return;
+        }
         Long last = lastCrashNanos.get(endpoint.id());
         if (last != null && nowNanos - last < CRASH_NANOS) {
             return;
--- a/core/src/main/java/org/carobdoor/internal/rollout/VersionRule.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/VersionRule.java
@@ -9,9 +9,11 @@
  * @param to the new version
  * @param share the fraction of requests that go to it
  * @param limited whether this node must keep the new version's requests within the exposure limit
+ * @param required whether the new version gets no requests even if there is no other
  * @param barred versions that get no requests
  */
-public record VersionRule(String to, double share, boolean limited, List<String> barred) {
+public record VersionRule(
+        String to, double share, boolean limited, boolean required, List<String> barred) {
     /** Copies the list. */
     public VersionRule {
         barred = List.copyOf(barred);
@@ -27,23 +29,37 @@
     public static @Nullable VersionRule of(
             @Nullable RolloutOrder order, @Nullable RolloutState state, boolean bad) {
         if (state == null || (order != null && !order.isOrderOf(state))) {
-            return order == null ? null : without(order.to(), Rollout.barred(state));
+            return order == null ? null : without(order.to(), false, barredBefore(order, state));
         }
         return switch (state.phase()) {
-            case ROLLED_BACK -> without(state.to(), state.barred());
-            case COMPLETED -> new VersionRule(state.to(), 1, false, state.barred());
+            case ROLLED_BACK -> without(state.to(), true, state.barred());
+            case COMPLETED -> new VersionRule(state.to(), 1, false, false, state.barred());
             case TRYING ->
                     bad
-                            ? without(state.to(), state.barred())
-                            : new VersionRule(state.to(), state.share(), true, state.barred());
+                            ? without(state.to(), true, state.barred())
+                            : new VersionRule(
+                                    state.to(), state.share(), true, false, state.barred());
             case WIDENING, FINISHING ->
                     bad
-                            ? without(state.to(), state.barred())
-                            : new VersionRule(state.to(), state.share(), false, state.barred());
+                            ? without(state.to(), true, state.barred())
+                            : new VersionRule(
+                                    state.to(), state.share(), false, false, state.barred());
         };
     }
 
-    private static VersionRule without(String to, List<String> barred) {
-        return new VersionRule(to, 0, true, barred);
+    private static List<String> barredBefore(RolloutOrder order, @Nullable RolloutState state) {
+        List<String> barred = Rollout.barred(state);
+        barred.remove(order.to());
+        return barred;
+    }
+
+    private static VersionRule without(String to, boolean required, List<String> barred) {
+        return new VersionRule(to, 0, true, required, barred);
+    }
+
+    /** Returns whether {@code version} is the new one. */
+    boolean isNew(String version) {
+        // An order without a version concerns none, not the endpoints whose version is unknown.
+        return !to.isEmpty() && version.equals(to);
     }
 }
--- a/core/src/main/java/org/carobdoor/internal/rollout/VersionSelector.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/VersionSelector.java
@@ -104,21 +104,21 @@
         if (r == null) {
             return usable;
         }
-        List<EndpointLoad> old = filter(usable, v -> !v.equals(r.to()) && !r.barred().contains(v));
-        if (r.share() <= 0 || (r.share() < 1 && !chosenNew)) {
+        List<EndpointLoad> old = filter(usable, v -> !r.isNew(v) && !r.barred().contains(v));
+        List<EndpointLoad> next = filter(usable, r::isNew);
+        if (next.isEmpty() || r.required()) {
             return old;
         }
-        List<EndpointLoad> next = filter(usable, v -> v.equals(r.to()));
-        if (next.isEmpty()) {
-            return old;
+        if (r.share() >= 1 || old.isEmpty()) {
+            return next;
         }
-        return r.share() >= 1 ? next : tried(next, r.share());
+        return chosenNew && r.share() > 0 ? tried(next, r.share()) : old;
     }
 
     /** Counts that a request was sent to an endpoint of {@code version}. */
     public void recordSent(String service, String version) {
         Service s = services.get(service);
-        if (s != null && s.rule != null && s.rule.to().equals(version)) {
+        if (s != null && s.rule != null && s.rule.isNew(version)) {
             s.exposed++;
         }
     }
@@ -151,7 +151,7 @@
                 filter(
                         all,
                         v ->
-                                (rule != null && rule.to().equals(v))
+                                (rule != null && rule.isNew(v))
                                         || s.usableFromNanos.getOrDefault(v, 0L) - nowNanos <= 0);
         return usable.isEmpty() ? all : usable;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -14,6 +15,7 @@
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
 import org.carobdoor.internal.peers.NodeCensus;
+import org.carobdoor.internal.rollout.RolloutBounds;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
@@ -21,6 +23,7 @@
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.UsageWindow;
 import org.carobdoor.node.gateway.forward.ForwardingState;
+import org.carobdoor.node.gateway.forward.VersionRouting;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.node.gateway.settings.GatewaySettings;
 import org.carobdoor.platform.StoreKeys;
@@ -68,6 +71,7 @@
     private final PeerRegistry peers;
     private final QuarantineSync quarantineSync;
     private final @Nullable DutyRunner dutyRunner;
+    private final @Nullable RolloutRunner rolloutRunner;
     private final ClusterClock clock;
     private final ClusterUsage usage = ClusterUsage.create();
     private final DecisionLog log;
@@ -139,10 +143,11 @@
                                                 peers::allPeersReporting,
                                                 log))
                         .orElse(null);
+        rolloutRunner = rolloutRunner();
         Duration staleLimit = settings.bounds().staleLimit();
         configurationWatch =
                 watch(
-                        StoreKeys.CONFIGURATION,
+                        rolloutRunner == null ? StoreKeys.CONFIGURATION : StoreKeys.OPERATOR_PREFIX,
                         schedule(staleLimit),
                         () -> 0,
                         new ConfigurationListener());
@@ -163,6 +168,25 @@
                         new NodeKeysListener());
     }
 
+    private @Nullable RolloutRunner rolloutRunner() {
+        Optional<RolloutBounds> bounds = settings.bounds().rollouts();
+        DutyRunner duties = dutyRunner;
+        if (bounds.isEmpty() || duties == null) {
+            return null;
+        }
+        state.setVersions(VersionRouting.create(bounds));
+        return new RolloutRunner(
+                loop,
+                store,
+                bounds.get(),
+                duties,
+                state,
+                () -> clock.millis(System.nanoTime()),
+                peers::nodeCount,
+                run,
+                log);
+    }
+
     /** Starts the store watches, the exchange with the other nodes, and the duties. */
     public void start() {
         configurationWatch.start();
@@ -173,6 +197,9 @@
         if (dutyRunner != null) {
             dutyRunner.start();
         }
+        if (rolloutRunner != null) {
+            rolloutRunner.start();
+        }
         GuardedTask.repeat(loop, "control", this::tick, TICK_INTERVAL_MILLIS, log);
         GuardedTask.repeat(loop, "traffic", this::logTraffic, TRAFFIC_SUMMARY_INTERVAL_MILLIS, log);
         GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
@@ -215,6 +242,9 @@
                 .append("carobdoor_gateway_configuration_revision ")
                 .append(mirror.configurationRevision())
                 .append('\n');
+        if (rolloutRunner != null) {
+            rolloutRunner.writeMetrics(to);
+        }
     }
 
     private StoreWatch watch(
@@ -311,7 +341,10 @@
                 state.quarantine().digest(),
                 0,
                 true,
-                false);
+                false,
+                0,
+                List.of(),
+                rolloutRunner == null ? List.of() : rolloutRunner.ownEvidence());
     }
 
     @Override
@@ -328,6 +361,9 @@
         state.accountQuotas().applyNodeUse(sender, message.accounts(), age, now);
         state.endpoints().setRemoteUse(sender, message.endpoints(), message.isComplete());
         message.windows().forEach(w -> usage.report(sender, w.window(), w.counts()));
+        if (rolloutRunner != null) {
+            rolloutRunner.statusReceived(message);
+        }
         if (dutyRunner != null) {
             dutyRunner.autoscaler().recordWork(sender, message.workMillis());
         }
@@ -374,6 +410,9 @@
         private void apply(StoreItem item) {
             if (item.key().equals(StoreKeys.CONFIGURATION)) {
                 mirror.applyConfiguration(item, "store");
+            } else if (rolloutRunner != null) {
+                GuardedTask.run(
+                        "key " + item.key(), () -> rolloutRunner.operatorKeyWritten(item), log);
             }
         }
     }
@@ -449,6 +488,10 @@
                         .ifPresent(p -> peers.peerListed(p, item.revision()));
             } else if (item.key().startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
                 quarantineSync.keyWritten(item);
+            } else if (item.key().startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
+                if (rolloutRunner != null) {
+                    rolloutRunner.stateWritten(item);
+                }
             } else if (dutyRunner != null) {
                 dutyRunner.keyWritten(item);
             }
@@ -459,6 +502,10 @@
                 peers.peerUnlisted(key.substring(NodeStoreKeys.NODES_PREFIX.length()));
             } else if (key.startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
                 quarantineSync.keyDeleted(key, revision);
+            } else if (key.startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
+                if (rolloutRunner != null) {
+                    rolloutRunner.stateMissing(key, revision);
+                }
             } else if (dutyRunner != null) {
                 dutyRunner.keyMissing(key, revision);
             }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/NodeStoreKeys.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/NodeStoreKeys.java
@@ -11,6 +11,9 @@
     /** Prefix of the keys of quarantined request patterns. */
     static final String QUARANTINE_PREFIX = PREFIX + "quarantine/";
 
+    /** Prefix of the keys of the states of roll-outs, by service. */
+    static final String ROLLOUTS_PREFIX = PREFIX + "rollout/";
+
     /** Key that names the duty holder, bound to its lease. */
     static final String DUTY_HOLDER = PREFIX + "duty";
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -80,6 +80,9 @@
     private boolean streamStarted;
     private boolean ended;
 
+    /** Whether the request goes to a version that is being rolled out. */
+    private boolean toNewVersion;
+
     /**
      * Creates a call that has not started.
      *
@@ -103,6 +106,7 @@
         call.request()
                 .prompt()
                 .ifPresent(p -> state.addEngineTime(service.name(), EngineTimeEstimator.millis(p)));
+        toNewVersion = state.versions().selector().choosesNew(service.name(), state.random());
         selectAndSend();
     }
 
@@ -112,7 +116,12 @@
             timeOut();
             return;
         }
-        switch (selectEndpoint(candidates(now), now)) {
+        Placement placement = selectEndpoint(candidates(now), now);
+        if (toNewVersion && !(placement instanceof Placement.Chosen)) {
+            toNewVersion = false;
+            placement = selectEndpoint(candidates(now), now);
+        }
+        switch (placement) {
             case Placement.NoEndpoint() -> fail("no_endpoint", NO_ENDPOINT_RETRY_AFTER_MILLIS);
             case Placement.Saturated(long retryAfter) -> fail("saturated", retryAfter);
             case Placement.Chosen chosen -> send(chosen);
@@ -120,7 +129,12 @@
     }
 
     private List<EndpointLoad> candidates(long now) {
-        return state.endpoints().accepting(service.name(), now).stream()
+        List<EndpointLoad> accepting = state.endpoints().accepting(service.name(), now);
+        return state
+                .versions()
+                .selector()
+                .allowed(service.name(), toNewVersion && sends == 0, accepting, now)
+                .stream()
                 .filter(e -> !triedEndpoints.contains(e.entry().id()))
                 .toList();
     }
@@ -160,6 +174,8 @@
                 e == null ? null : e.lastId(),
                 () -> {
                     state.counters().recordSend(service.name(), sends > 0);
+                    String version = chosen.endpoint().entry().version();
+                    state.versions().selector().recordSent(service.name(), version);
                     sends++;
                     if (route.isRepeatable() && hasAttemptsLeft()) {
                         a.scheduleSlowResponseCheck();
@@ -234,6 +250,9 @@
         if (ended) {
             return;
         }
+        if (attempt != null) {
+            attempt.recordUnanswered();
+        }
         mayHaveRun |= closeAttempt();
         end(Outcome.TIMED_OUT, cause);
         if (streamStarted) {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -34,6 +34,7 @@
     private final RetryTally retryTally = new RetryTally();
     private final RequestQuarantine quarantine;
     private final Map<String, Double> workMillis = new HashMap<>();
+    private VersionRouting versions = VersionRouting.create(Optional.empty());
     private Optional<Configuration> configuration = Optional.empty();
     private Runnable onReady = () -> {};
     private boolean configured;
@@ -81,6 +82,16 @@
         endpoints.configure(newConfiguration, nodeCount);
     }
 
+    /** Sets how versions are rolled out; before, all versions are used alike. */
+    public void setVersions(VersionRouting newVersions) {
+        versions = newVersions;
+    }
+
+    /** Returns how requests are divided among versions. */
+    public VersionRouting versions() {
+        return versions;
+    }
+
     /** Marks the configuration and the endpoints as known. */
     public void setConfigured() {
         configured = true;
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewayBounds.java
@@ -1,7 +1,9 @@
 package org.carobdoor.node.gateway.settings;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.carobdoor.internal.retries.RetryAllowance;
+import org.carobdoor.internal.rollout.RolloutBounds;
 
 /**
  * Time limits, quota parameters and duties that the platform prescribes for the nodes.
@@ -17,6 +19,7 @@
  * @param reportsUsage whether the duty holder reports usage
  * @param scalesEndpoints whether the duty holder scales the endpoints
  * @param retries the retries that all nodes together may send to a service
+ * @param rollouts the limits of roll-outs of versions; empty if versions are not rolled out
  */
 public record GatewayBounds(
         Duration stopGrace,
@@ -28,4 +31,5 @@
         Duration endpointHeartbeat,
         boolean reportsUsage,
         boolean scalesEndpoints,
-        RetryAllowance retries) {}
+        RetryAllowance retries,
+        Optional<RolloutBounds> rollouts) {}
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -9,6 +9,7 @@
 import org.carobdoor.clients.toml.TomlTable;
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.retries.RetryAllowance;
+import org.carobdoor.internal.rollout.RolloutBounds;
 import org.carobdoor.node.settings.SettingsFile;
 
 /**
@@ -21,6 +22,7 @@
  */
 public final class GatewaySettingsLoader {
     private static final double MAX_RETRIES = 1e6;
+    private static final double MAX_ROLLOUT_SLACK = 1e6;
 
     private GatewaySettingsLoader() {}
 
@@ -73,7 +75,14 @@
                 new RetryAllowance(
                         table.number("retry_share", 0.1, 0, 1),
                         table.number("retry_saved", 0, 0, MAX_RETRIES),
-                        duration(table, "retry_window", Duration.ofSeconds(10)).toNanos()));
+                        duration(table, "retry_window", Duration.ofSeconds(10)).toNanos()),
+                rollouts(table));
+    }
+
+    private static Optional<RolloutBounds> rollouts(TomlTable table) {
+        double share = table.number("rollout_share", 0, 0, 1);
+        double slack = table.number("rollout_slack", 0, 0, MAX_ROLLOUT_SLACK);
+        return share > 0 ? Optional.of(new RolloutBounds(share, (long) slack)) : Optional.empty();
     }
 
     private static Duration duration(TomlTable table, String key, Duration defaultValue) {
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -63,6 +63,7 @@
             usage_window = "1s"
             retry_share = 0.2
             retry_saved = %d
+            %s
             """;
 
     /** Initial retry budget, so that a node can retry immediately after its start. */
@@ -93,13 +94,20 @@
 
     /** Starts a node of a cluster that has been running before. */
     static TestGateway startAgain(String name, StoreStandIn store, CloudStandIn cloud) {
-        return start(name, false, store.address(), cloud, INITIAL_RETRIES);
+        return start(name, false, store.address(), cloud, INITIAL_RETRIES, "");
+    }
+
+    /** Starts a node that rolls out versions, within an exposure limit of {@code share}. */
+    static TestGateway startWithRollouts(
+            String name, StoreStandIn store, CloudStandIn cloud, double share) {
+        String bounds = "rollout_share = " + share + "\nrollout_slack = 50";
+        return start(name, true, store.address(), cloud, INITIAL_RETRIES, bounds);
     }
 
     /** Starts a node that reaches the store at {@code store}. */
     static TestGateway start(
             String name, InetSocketAddress store, CloudStandIn cloud, int savedRetries) {
-        return start(name, true, store, cloud, savedRetries);
+        return start(name, true, store, cloud, savedRetries, "");
     }
 
     private static TestGateway start(
@@ -107,7 +115,8 @@
             boolean firstStart,
             InetSocketAddress store,
             CloudStandIn cloud,
-            int savedRetries) {
+            int savedRetries,
+            String moreBounds) {
         String text =
                 String.format(
                         SETTINGS,
@@ -119,7 +128,8 @@
                         FreePorts.next(),
                         store.getPort(),
                         cloud.address().getPort(),
-                        savedRetries);
+                        savedRetries,
+                        moreBounds);
         return new TestGateway(GatewaySettingsLoader.parse("test", text).orElseThrow());
     }
 
--- a/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/BackendStandIn.java
@@ -29,7 +29,9 @@
         /** Closes the connection in the middle of the third event of a stream. */
         BREAK_STREAM,
         /** Executes the request and responds 500 ms later. */
-        SLOW
+        SLOW,
+        /** Executes the request and responds with 500. */
+        FAIL
     }
 
     /** A request that was executed. Its ID is the attempt ID from the request headers. */
@@ -74,6 +76,11 @@
         store.putEndpoint(id, service, state, http.address());
     }
 
+    /** Registers this endpoint in the store as one of {@code version}. */
+    public void registerVersion(StoreStandIn store, String service, String version) {
+        store.putEndpoint(id, service, "ready", http.address(), 1_700_000_000_000L, version);
+    }
+
     private void serve(HttpExchange exchange) throws IOException {
         String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
         Headers requestHeaders = exchange.getRequestHeaders();
@@ -104,6 +111,10 @@
         if (mode == Mode.SLOW) {
             sleep(SLOW_RESPONSE_MILLIS);
         }
+        if (mode == Mode.FAIL) {
+            LocalHttpServer.sendJson(exchange, 500, "");
+            return;
+        }
         respond(exchange, body);
     }
 
--- a/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
@@ -92,16 +92,32 @@
             String state,
             InetSocketAddress address,
             long startedAtMillis) {
+        putEndpoint(id, service, state, address, startedAtMillis, "v1");
+    }
+
+    /**
+     * Writes the entry with which an endpoint of {@code version} registers itself.
+     *
+     * @param startedAtMillis when it started, in milliseconds since the epoch
+     */
+    public void putEndpoint(
+            String id,
+            String service,
+            String state,
+            InetSocketAddress address,
+            long startedAtMillis,
+            String version) {
         put(
                 "servers/" + id,
                 String.format(
                         "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"a\","
-                                + "\"version\":\"v1\",\"slots\":8,\"state\":\"%s\","
+                                + "\"version\":\"%s\",\"slots\":8,\"state\":\"%s\","
                                 + "\"coldRemainingMs\":0,\"sequence\":1,"
                                 + "\"born\":%d}",
                         service,
                         address.getAddress().getHostAddress(),
                         address.getPort(),
+                        version,
                         state,
                         startedAtMillis));
     }
@@ -117,6 +133,19 @@
         }
     }
 
+    /** Returns the value of a key; empty if it does not exist. */
+    public String value(String key) {
+        lock.lock();
+        try {
+            Item item = items.get(key);
+            return item == null
+                    ? ""
+                    : new String(Base64.getDecoder().decode(item.value), StandardCharsets.UTF_8);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Returns the keys that start with {@code prefix}. */
     public List<String> keys(String prefix) {
         lock.lock();
