Describe roll-outs of versions; do not scale a service meanwhile

The endpoints of both versions would have looked like too many to the autoscaler. A roll-out is completed 2.5 s after all requests moved at the earliest, so that nodes have reported that nothing runs at the old endpoints.

--- a/core/src/main/java/org/carobdoor/internal/rollout/Rollout.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/Rollout.java
@@ -39,8 +39,8 @@
     /** Without this many answers, the number of requests up to the deadline is not estimated. */
     private static final long MIN_RATE_MILLIS = 1_000;
 
-    /** All nodes follow a stored step within this time, if they follow at all. */
-    private static final long FOLLOW_MILLIS = 1_500;
+    /** All nodes follow a stored step, and have reported so, within this time. */
+    private static final long FOLLOW_MILLIS = 2_500;
 
     /** The time for storing the completion and writing the status. */
     private static final long COMPLETION_MILLIS = 1_000;
--- a/core/src/main/java/org/carobdoor/internal/rollout/VersionRule.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/VersionRule.java
@@ -10,10 +10,16 @@
  * @param share the fraction of requests that go to it
  * @param limited whether this node must keep the new version's requests within the exposure limit
  * @param required whether the new version gets no requests even if there is no other
+ * @param running whether the roll-out has not ended yet
  * @param barred versions that get no requests
  */
 public record VersionRule(
-        String to, double share, boolean limited, boolean required, List<String> barred) {
+        String to,
+        double share,
+        boolean limited,
+        boolean required,
+        boolean running,
+        List<String> barred) {
     /** Copies the list. */
     public VersionRule {
         barred = List.copyOf(barred);
@@ -29,21 +35,23 @@
     public static @Nullable VersionRule of(
             @Nullable RolloutOrder order, @Nullable RolloutState state, boolean bad) {
         if (state == null || (order != null && !order.isOrderOf(state))) {
-            return order == null ? null : without(order.to(), false, barredBefore(order, state));
+            return order == null
+                    ? null
+                    : without(order.to(), false, true, barredBefore(order, state));
         }
         return switch (state.phase()) {
-            case ROLLED_BACK -> without(state.to(), true, state.barred());
-            case COMPLETED -> new VersionRule(state.to(), 1, false, false, state.barred());
+            case ROLLED_BACK -> without(state.to(), true, false, state.barred());
+            case COMPLETED -> new VersionRule(state.to(), 1, false, false, false, state.barred());
             case TRYING ->
                     bad
-                            ? without(state.to(), true, state.barred())
+                            ? without(state.to(), true, true, state.barred())
                             : new VersionRule(
-                                    state.to(), state.share(), true, false, state.barred());
+                                    state.to(), state.share(), true, false, true, state.barred());
             case WIDENING, FINISHING ->
                     bad
-                            ? without(state.to(), true, state.barred())
+                            ? without(state.to(), true, true, state.barred())
                             : new VersionRule(
-                                    state.to(), state.share(), false, false, state.barred());
+                                    state.to(), state.share(), false, false, true, state.barred());
         };
     }
 
@@ -53,8 +61,9 @@
         return barred;
     }
 
-    private static VersionRule without(String to, boolean required, List<String> barred) {
-        return new VersionRule(to, 0, true, required, barred);
+    private static VersionRule without(
+            String to, boolean required, boolean running, List<String> barred) {
+        return new VersionRule(to, 0, true, required, running, barred);
     }
 
     /** Returns whether {@code version} is the new one. */
--- a/core/src/main/java/org/carobdoor/internal/rollout/VersionSelector.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/VersionSelector.java
@@ -70,6 +70,12 @@
         s.rule = rule;
     }
 
+    /** Returns whether a version of {@code service} is being rolled out. */
+    public boolean isRollingOut(String service) {
+        Service s = services.get(service);
+        return s != null && s.rule != null && s.rule.running();
+    }
+
     /** Returns whether a new request of {@code service} goes to the new version. */
     public boolean choosesNew(String service, RandomGenerator random) {
         Service s = services.get(service);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
@@ -89,7 +89,8 @@
             if (s.fleet().isPresent()) {
                 FleetDemand demand = demands.computeIfAbsent(s.name(), n -> FleetDemand.create());
                 demand.measured(workSinceTick.getOrDefault(s.name(), 0.0) / seconds);
-                if (holder) {
+                // The endpoints of both versions would look like too many.
+                if (holder && !state.versions().selector().isRollingOut(s.name())) {
                     plan(s, s.fleet().get(), demand, now);
                 }
             }
