--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
@@ -98,7 +98,9 @@
             if (s.fleet().isPresent()) {
                 FleetDemand demand = demands.computeIfAbsent(s.name(), n -> FleetDemand.create());
                 demand.measured(workSinceTick.getOrDefault(s.name(), 0.0) / seconds);
-                plan(s, s.fleet().get(), demand, holder, now);
+                // The endpoints of both versions would look like too many.
+                boolean orders = holder && !state.versions().selector().isRollingOut(s.name());
+                plan(s, s.fleet().get(), demand, orders, now);
             }
         }
         workSinceTick.clear();
