--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.carobdoor.internal.directory.EndpointDirectory;
@@ -15,8 +16,8 @@
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
 import org.carobdoor.internal.peers.NodeCensus;
-import org.carobdoor.internal.store.NewsFollower;
 import org.carobdoor.internal.rollout.RolloutBounds;
+import org.carobdoor.internal.store.NewsFollower;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
@@ -92,6 +93,7 @@
     private final StoreWatch endpointWatch;
     private final StoreWatch nodeKeysWatch;
     private final long directoryStaleNanos;
+    private final EraChanges eraChanges;
     private boolean nodeListLoaded;
     private boolean endpointWatchFailing;
     private boolean directoryStale;
@@ -119,6 +121,8 @@
         this.log = log;
         store = new StoreClient(loop, settings.store(), log);
         mirror = new LocalStoreMirror(directory, state, log);
+        eraChanges = new EraChanges(mirror, state.quarantine(), log);
+        store.onNewEra(eraChanges);
         traffic = network.counters();
         clock = ClusterClock.start(System.nanoTime(), System.currentTimeMillis());
         peers =
@@ -159,6 +163,10 @@
         this.random = random;
         storeNews = new StoreNewsExchange(loop, network, peers::storeReaders, log);
         rolloutRunner = rolloutRunner();
+        if (dutyRunner != null) {
+            eraChanges.add(dutyRunner::eraBegan);
+        }
+        eraChanges.add(era -> peers.eraBegan());
         Duration staleLimit = settings.bounds().staleLimit();
         configurationWatch =
                 watch(
@@ -202,11 +210,16 @@
                 log);
     }
 
+    /** Adds a listener of the eras of the store; it writes again what it keeps there. */
+    public void addEraListener(LongConsumer onNewEra) {
+        eraChanges.add(onNewEra);
+    }
+
     /** Starts the store watches, the exchange with the other nodes, and the duties. */
     public void start() {
-        configurationWatch.start();
-        endpointWatch.start();
-        nodeKeysWatch.start();
+        readStore();
+        // After all other listeners, which drop what is not valid in the new era.
+        eraChanges.add(era -> readStore());
         storeNews.start();
         peers.start();
         quarantineSync.start();
@@ -221,6 +234,12 @@
         GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
     }
 
+    private void readStore() {
+        configurationWatch.start();
+        endpointWatch.start();
+        nodeKeysWatch.start();
+    }
+
     /** Returns whether the node has the state that it needs to serve requests. */
     public boolean isReady() {
         return state.isReady();
@@ -257,6 +276,8 @@
                 .append("\n# TYPE carobdoor_gateway_configuration_revision gauge\n")
                 .append("carobdoor_gateway_configuration_revision ")
                 .append(mirror.configurationRevision())
+                .append("\n# TYPE carobdoor_gateway_store_era gauge\ncarobdoor_gateway_store_era ")
+                .append(store.era())
                 .append('\n');
         quotaLender.writeMetrics(to);
         if (dutyRunner != null) {
@@ -279,7 +300,7 @@
                         NewsFollower.create(random),
                         schedule,
                         schedule(READER_STALE_LIMIT),
-                        () -> 0,
+                        store::era,
                         listener,
                         log);
         LongSupplier delay =
@@ -381,7 +402,7 @@
                 0,
                 true,
                 false,
-                0,
+                store.era(),
                 List.of(),
                 rolloutRunner == null ? List.of() : rolloutRunner.ownEvidence());
     }
@@ -389,6 +410,7 @@
     @Override
     public void statusReceived(NodeStatus message, boolean usable) {
         long now = System.nanoTime();
+        store.observeEra(message.storeEra());
         String sender = message.run();
         clock.report(sender, message.timeMillis(), now);
         directory.recordRevisionOfPeer(message.directoryRevision(), now);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/RolloutRunner.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/RolloutRunner.java
@@ -185,7 +185,8 @@
 
     /** Takes the next step of a roll-out, as the duty holder. */
     private void act(ServiceRollout r) {
-        Optional<RolloutState> next = Optional.ofNullable(r.unconfirmed()).or(() -> next(r));
+        Optional<RolloutState> next =
+                Optional.ofNullable(r.unconfirmed()).or(r::stateToRestore).or(() -> next(r));
         if (next.isPresent()) {
             writeState(r, next.get());
         } else if (r.isStatusDue(duties.fencingToken()) && r.state() != null) {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ServiceRollout.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ServiceRollout.java
@@ -14,6 +14,7 @@
     private @Nullable RolloutOrder order;
     private @Nullable RolloutState state;
     private @Nullable RolloutState unconfirmed;
+    private boolean storeBehind;
     private @Nullable RolloutJudge judge;
     private Optional<String> bad = Optional.empty();
     private long orderSeenMillis;
@@ -52,12 +53,18 @@
 
     /** Applies a stored state, unless a newer one is known; returns whether it was applied. */
     boolean applyState(RolloutState newState, long revision) {
-        if (revision <= stateRevision || isBehind(newState)) {
+        if (revision <= stateRevision) {
+            return false;
+        }
+        if (isBehind(newState)) {
+            // The store has come back from an older copy.
+            writeAgain(revision);
             return false;
         }
         RolloutState before = state;
         stateRevision = revision;
         unconfirmed = null;
+        storeBehind = false;
         state = newState;
         RolloutJudge j = judge;
         boolean sameOrder = before != null && before.orderRevision() == newState.orderRevision();
@@ -93,10 +100,21 @@
     /** Processes that the state does not exist in the store at {@code revision}. */
     void stateMissing(long revision) {
         if (revision > stateRevision) {
-            stateRevision = 0;
+            writeAgain(0);
         }
     }
 
+    /** Lets the holder of the duties replace what is stored at {@code revision}. */
+    private void writeAgain(long revision) {
+        stateRevision = revision;
+        storeBehind = true;
+    }
+
+    /** Returns the known state if the store has an earlier one or none. */
+    Optional<RolloutState> stateToRestore() {
+        return storeBehind ? Optional.ofNullable(state) : Optional.empty();
+    }
+
     /** Judges the evidence; returns whether the new version has just been found bad. */
     boolean judge() {
         RolloutJudge j = judge;
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -47,6 +47,7 @@
     private boolean replyPending;
     private boolean paused;
     private long callNumber;
+    private long readNumber;
     private long revision;
 
     /**
@@ -73,9 +74,17 @@
         this.log = log;
     }
 
-    /** Reads the keys, then watches them. */
+    /**
+     * Reads the keys, then watches them. Replaces reads and watch calls that are under way. Has no
+     * effect while paused.
+     */
     void start() {
-        readPages(new ArrayList<>(), "", Long.MAX_VALUE);
+        if (paused) {
+            return;
+        }
+        callNumber++;
+        replyPending = false;
+        readPages(++readNumber, new ArrayList<>(), "", Long.MAX_VALUE);
     }
 
     /** Sets how long the next calls wait. */
@@ -88,6 +97,7 @@
         paused = true;
         replyPending = false;
         callNumber++;
+        readNumber++;
     }
 
     /** Watches again, for changes after {@code knownRevision}. */
@@ -99,12 +109,13 @@
         }
     }
 
-    private void readPages(List<StoreItem> previousItems, String afterKey, long firstRevision) {
+    private void readPages(
+            long number, List<StoreItem> previousItems, String afterKey, long firstRevision) {
         store.range(
                 prefix,
                 afterKey,
                 answer -> {
-                    if (paused) {
+                    if (number != readNumber) {
                         return;
                     }
                     switch (answer) {
@@ -118,7 +129,7 @@
                             // revision.
                             long first = Math.min(firstRevision, pageRevision);
                             if (truncated && !items.isEmpty()) {
-                                readPages(all, items.getLast().key(), first);
+                                readPages(number, all, items.getLast().key(), first);
                                 return;
                             }
                             handleSuccess();
@@ -126,6 +137,7 @@
                             notifyListener(() -> listener.loaded(all, first));
                             awaitChanges();
                         }
+                        case StoreAnswer.HistoryGone gone -> start();
                         default -> retry(answer, this::start);
                     }
                 });
--- a/node/src/test/java/org/carobdoor/node/gateway/RolloutTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/RolloutTest.java
@@ -42,6 +42,10 @@
         store.close();
     }
 
+    private String status() {
+        return store.value(STATUS).orElse("");
+    }
+
     private void order(double seconds) {
         newEndpoint.registerVersion(store, "desk", "v2");
         store.put(
@@ -54,9 +58,9 @@
     private int sendUntil(String state) throws InterruptedException {
         int sent = 0;
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
-        while (!store.value(STATUS).contains("\"" + state + "\"")) {
+        while (!status().contains("\"" + state + "\"")) {
             if (System.nanoTime() - deadline > 0) {
-                throw new AssertionError("status is " + store.value(STATUS));
+                throw new AssertionError("status is " + status());
             }
             node.get("/safe/" + sent++);
             TimeUnit.MILLISECONDS.sleep(5);
@@ -76,8 +80,8 @@
             assertThat(node.get("/safe/after").statusCode()).isEqualTo(200);
         }
         assertThat(newEndpoint.arrivals()).isEqualTo(exposed);
-        assertThat(store.value(STATUS)).contains("\"to\":\"v2\"");
-        assertThat(store.value("carobdoor/rollout/desk")).contains("reason=failures");
+        assertThat(status()).contains("\"to\":\"v2\"");
+        assertThat(store.value("carobdoor/rollout/desk").orElse("")).contains("reason=failures");
         // A repeated order is the same roll-out.
         order(15);
         for (int i = 0; i < 100; i++) {
