Keep the edits of the shared gateway classes for roll-outs small

The runner is there in any case and does nothing without limits; counting by version moved to VersionRouting. Only a passed deadline, not a stop of the node, counts as an answer that was awaited.

--- a/core/src/main/java/org/carobdoor/internal/rollout/VersionSelector.java
+++ b/core/src/main/java/org/carobdoor/internal/rollout/VersionSelector.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.carobdoor.internal.directory.EndpointEntry;
 import org.carobdoor.internal.placement.EndpointLoad;
 import org.jspecify.annotations.Nullable;
 
@@ -121,10 +122,10 @@
         return chosenNew && r.share() > 0 ? tried(next, r.share()) : old;
     }
 
-    /** Counts that a request was sent to an endpoint of {@code version}. */
-    public void recordSent(String service, String version) {
-        Service s = services.get(service);
-        if (s != null && s.rule != null && s.rule.isNew(version)) {
+    /** Counts that a request was sent to {@code endpoint}. */
+    public void recordSent(EndpointEntry endpoint) {
+        Service s = services.get(endpoint.service());
+        if (s != null && s.rule != null && s.rule.isNew(endpoint.version())) {
             s.exposed++;
         }
     }
--- a/core/src/test/java/org/carobdoor/internal/rollout/VersionSelectorTest.java
+++ b/core/src/test/java/org/carobdoor/internal/rollout/VersionSelectorTest.java
@@ -96,7 +96,7 @@
             Random random = new Random(n);
             for (int i = 0; i < requests; i++) {
                 if (node.choosesNew("desk", random)) {
-                    node.recordSent("desk", "v2");
+                    node.recordSent(endpoints.getLast().entry());
                     exposed++;
                 }
             }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -15,7 +14,6 @@
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
 import org.carobdoor.internal.peers.NodeCensus;
-import org.carobdoor.internal.rollout.RolloutBounds;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
@@ -23,7 +21,6 @@
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.UsageWindow;
 import org.carobdoor.node.gateway.forward.ForwardingState;
-import org.carobdoor.node.gateway.forward.VersionRouting;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.node.gateway.settings.GatewaySettings;
 import org.carobdoor.platform.StoreKeys;
@@ -71,7 +68,7 @@
     private final PeerRegistry peers;
     private final QuarantineSync quarantineSync;
     private final @Nullable DutyRunner dutyRunner;
-    private final @Nullable RolloutRunner rolloutRunner;
+    private final RolloutRunner rolloutRunner;
     private final ClusterClock clock;
     private final ClusterUsage usage = ClusterUsage.create();
     private final DecisionLog log;
@@ -143,11 +140,21 @@
                                                 peers::allPeersReporting,
                                                 log))
                         .orElse(null);
-        rolloutRunner = rolloutRunner();
+        rolloutRunner =
+                new RolloutRunner(
+                        loop,
+                        store,
+                        settings.bounds().rollouts(),
+                        dutyRunner,
+                        state,
+                        () -> clock.millis(System.nanoTime()),
+                        peers::nodeCount,
+                        run,
+                        log);
         Duration staleLimit = settings.bounds().staleLimit();
         configurationWatch =
                 watch(
-                        rolloutRunner == null ? StoreKeys.CONFIGURATION : StoreKeys.OPERATOR_PREFIX,
+                        rolloutRunner.operatorKeys(),
                         schedule(staleLimit),
                         () -> 0,
                         new ConfigurationListener());
@@ -168,25 +175,6 @@
                         new NodeKeysListener());
     }
 
-    private @Nullable RolloutRunner rolloutRunner() {
-        Optional<RolloutBounds> bounds = settings.bounds().rollouts();
-        DutyRunner duties = dutyRunner;
-        if (bounds.isEmpty() || duties == null) {
-            return null;
-        }
-        state.setVersions(VersionRouting.create(bounds));
-        return new RolloutRunner(
-                loop,
-                store,
-                bounds.get(),
-                duties,
-                state,
-                () -> clock.millis(System.nanoTime()),
-                peers::nodeCount,
-                run,
-                log);
-    }
-
     /** Starts the store watches, the exchange with the other nodes, and the duties. */
     public void start() {
         configurationWatch.start();
@@ -197,9 +185,7 @@
         if (dutyRunner != null) {
             dutyRunner.start();
         }
-        if (rolloutRunner != null) {
-            rolloutRunner.start();
-        }
+        rolloutRunner.start();
         GuardedTask.repeat(loop, "control", this::tick, TICK_INTERVAL_MILLIS, log);
         GuardedTask.repeat(loop, "traffic", this::logTraffic, TRAFFIC_SUMMARY_INTERVAL_MILLIS, log);
         GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
@@ -242,9 +228,7 @@
                 .append("carobdoor_gateway_configuration_revision ")
                 .append(mirror.configurationRevision())
                 .append('\n');
-        if (rolloutRunner != null) {
-            rolloutRunner.writeMetrics(to);
-        }
+        rolloutRunner.writeMetrics(to);
     }
 
     private StoreWatch watch(
@@ -344,7 +328,7 @@
                 false,
                 0,
                 List.of(),
-                rolloutRunner == null ? List.of() : rolloutRunner.ownEvidence());
+                rolloutRunner.ownEvidence());
     }
 
     @Override
@@ -361,9 +345,7 @@
         state.accountQuotas().applyNodeUse(sender, message.accounts(), age, now);
         state.endpoints().setRemoteUse(sender, message.endpoints(), message.isComplete());
         message.windows().forEach(w -> usage.report(sender, w.window(), w.counts()));
-        if (rolloutRunner != null) {
-            rolloutRunner.statusReceived(message);
-        }
+        rolloutRunner.statusReceived(message);
         if (dutyRunner != null) {
             dutyRunner.autoscaler().recordWork(sender, message.workMillis());
         }
@@ -410,7 +392,7 @@
         private void apply(StoreItem item) {
             if (item.key().equals(StoreKeys.CONFIGURATION)) {
                 mirror.applyConfiguration(item, "store");
-            } else if (rolloutRunner != null) {
+            } else {
                 GuardedTask.run(
                         "key " + item.key(), () -> rolloutRunner.operatorKeyWritten(item), log);
             }
@@ -489,9 +471,7 @@
             } else if (item.key().startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
                 quarantineSync.keyWritten(item);
             } else if (item.key().startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
-                if (rolloutRunner != null) {
-                    rolloutRunner.stateWritten(item);
-                }
+                rolloutRunner.stateWritten(item);
             } else if (dutyRunner != null) {
                 dutyRunner.keyWritten(item);
             }
@@ -503,9 +483,7 @@
             } else if (key.startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
                 quarantineSync.keyDeleted(key, revision);
             } else if (key.startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
-                if (rolloutRunner != null) {
-                    rolloutRunner.stateMissing(key, revision);
-                }
+                rolloutRunner.stateMissing(key, revision);
             } else if (dutyRunner != null) {
                 dutyRunner.keyMissing(key, revision);
             }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/RolloutRunner.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/RolloutRunner.java
@@ -23,8 +23,10 @@
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.VersionEvidence;
 import org.carobdoor.node.gateway.forward.ForwardingState;
+import org.carobdoor.node.gateway.forward.VersionRouting;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.platform.RolloutDecoder;
+import org.carobdoor.platform.StoreKeys;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,20 +39,20 @@
 
     private final EventLoop loop;
     private final StoreClient store;
-    private final DutyRunner duties;
+    private final @Nullable DutyRunner duties;
     private final ForwardingState forwarding;
     private final LongSupplier clusterMillis;
     private final IntSupplier nodeCount;
     private final String run;
     private final DecisionLog log;
-    private final Rollout steps;
+    private final @Nullable Rollout steps;
     private final Map<String, ServiceRollout> rollouts = new TreeMap<>();
 
     RolloutRunner(
             EventLoop loop,
             StoreClient store,
-            RolloutBounds bounds,
-            DutyRunner duties,
+            Optional<RolloutBounds> bounds,
+            @Nullable DutyRunner duties,
             ForwardingState forwarding,
             LongSupplier clusterMillis,
             IntSupplier nodeCount,
@@ -64,16 +66,30 @@
         this.nodeCount = nodeCount;
         this.run = run;
         this.log = log;
-        steps = Rollout.create(bounds);
+        if (duties == null || bounds.isEmpty()) {
+            steps = null;
+        } else {
+            steps = Rollout.create(bounds.get());
+            forwarding.setVersions(VersionRouting.create(bounds));
+        }
+    }
+
+    /** Returns the prefix of the operator's keys to watch. */
+    String operatorKeys() {
+        return steps == null ? StoreKeys.CONFIGURATION : StoreKeys.OPERATOR_PREFIX;
     }
 
+    /** Starts to follow roll-outs, if they are enabled. */
     void start() {
+        if (steps == null) {
+            return;
+        }
         GuardedTask.repeat(loop, "rollouts", this::tick, TICK_INTERVAL_MILLIS, log);
     }
 
     /** Processes a key that the operator has written; keys of other matters are ignored. */
     void operatorKeyWritten(StoreItem item) {
-        if (!RolloutDecoder.isOrder(item.key())) {
+        if (steps == null || !RolloutDecoder.isOrder(item.key())) {
             return;
         }
         RolloutOrder order = RolloutDecoder.decode(item);
@@ -92,6 +108,9 @@
 
     /** Processes a stored state of a roll-out. */
     void stateWritten(StoreItem item) {
+        if (steps == null) {
+            return;
+        }
         Optional<RolloutState> decoded = RolloutRecord.decode(item.key(), item.value());
         if (decoded.isEmpty()) {
             log.line("rollout.record_unreadable").add("key", item.key()).write();
@@ -175,25 +194,25 @@
                         .write();
                 follow(r);
             }
-            if (!duties.isHolder()) {
+            if (duties == null || steps == null || !duties.isHolder()) {
                 r.setUnconfirmed(null);
             } else if (!r.isCallPending()) {
-                act(r);
+                act(r, steps, duties.fencingToken());
             }
         }
     }
 
     /** Takes the next step of a roll-out, as the duty holder. */
-    private void act(ServiceRollout r) {
-        Optional<RolloutState> next = Optional.ofNullable(r.unconfirmed()).or(() -> next(r));
+    private void act(ServiceRollout r, Rollout rules, long fence) {
+        Optional<RolloutState> next = Optional.ofNullable(r.unconfirmed()).or(() -> next(r, rules));
         if (next.isPresent()) {
-            writeState(r, next.get());
-        } else if (r.isStatusDue(duties.fencingToken()) && r.state() != null) {
-            writeStatus(r, r.state());
+            writeState(r, next.get(), fence);
+        } else if (r.isStatusDue(fence) && r.state() != null) {
+            writeStatus(r, r.state(), fence);
         }
     }
 
-    private Optional<RolloutState> next(ServiceRollout r) {
+    private Optional<RolloutState> next(ServiceRollout r, Rollout rules) {
         long now = clusterMillis.getAsLong();
         List<EndpointLoad> all = forwarding.endpoints().ofService(r.service());
         List<String> accepting =
@@ -206,7 +225,7 @@
         RolloutState state = r.state();
         if (order.isPresent()) {
             List<String> versions = accepting.stream().distinct().sorted().toList();
-            return Optional.of(steps.begin(order.get(), state, versions, r.orderSeenMillis(), now));
+            return Optional.of(rules.begin(order.get(), state, versions, r.orderSeenMillis(), now));
         }
         RolloutJudge judge = r.evidence();
         if (state == null || judge == null) {
@@ -226,7 +245,7 @@
                         newEndpoints,
                         accepting.size() - newEndpoints,
                         oldRunning);
-        return steps.next(state, view, now);
+        return rules.next(state, view, now);
     }
 
     private RolloutOrder checked(RolloutOrder o) {
@@ -246,12 +265,12 @@
                 : o;
     }
 
-    private void writeState(ServiceRollout r, RolloutState next) {
+    private void writeState(ServiceRollout r, RolloutState next, long fence) {
         r.setCallPending(true);
         store.write(
                 Map.of(
                         NodeStoreKeys.DUTY_HOLDER,
-                        duties.fencingToken(),
+                        fence,
                         RolloutRecord.key(r.service()),
                         r.stateRevision()),
                 RolloutRecord.key(r.service()),
@@ -268,9 +287,8 @@
                 });
     }
 
-    private void writeStatus(ServiceRollout r, RolloutState state) {
+    private void writeStatus(ServiceRollout r, RolloutState state, long fence) {
         r.setCallPending(true);
-        long fence = duties.fencingToken();
         store.write(
                 Map.of(NodeStoreKeys.DUTY_HOLDER, fence),
                 RolloutDecoder.statusKey(r.service()),
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ServiceRollout.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ServiceRollout.java
@@ -59,11 +59,12 @@
         stateRevision = revision;
         unconfirmed = null;
         state = newState;
+        boolean orderUnseen =
+                order == null
+                        && before != null
+                        && before.orderRevision() != newState.orderRevision();
         RolloutJudge j = judge;
-        boolean sameOrder = before != null && before.orderRevision() == newState.orderRevision();
-        if (j == null || !j.newVersion().equals(newState.to())) {
-            judgeAnew(newState.to());
-        } else if (before != null && !sameOrder && order == null) {
+        if (j == null || orderUnseen || !j.newVersion().equals(newState.to())) {
             judgeAnew(newState.to());
         }
         if (judge != null) {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -23,7 +23,6 @@
 import org.carobdoor.internal.request.EndpointAnswer;
 import org.carobdoor.internal.request.EndpointRequest;
 import org.carobdoor.internal.request.Prompt;
-import org.carobdoor.internal.rollout.VersionCounts;
 import org.carobdoor.message.RequestFeatures;
 import org.carobdoor.node.gateway.endpoint.Endpoint;
 import org.carobdoor.node.gateway.endpoint.EndpointExchange;
@@ -300,7 +299,7 @@
         if (!begun) {
             begun = true;
             begunNanos = now();
-            versionCounts().recordAnswer(load.entry(), call.route().name(), sentMillis(), false);
+            recordVersion(SendOutcome.ANSWERED, false);
         } else if (now() - begunNanos >= JUST_BEGUN_NANOS) {
             recordSurvived();
         }
@@ -404,7 +403,7 @@
         long now = now();
         double serviceFailureRate = call.state().endpoints().failureRate(call.service().name());
         load.health().record(outcome, serviceFailureRate, now);
-        recordVersion(outcome, now);
+        recordVersion(outcome, begun);
         if (outcome != SendOutcome.ANSWERED) {
             call.state()
                     .log()
@@ -425,40 +424,20 @@
         }
     }
 
-    private void recordVersion(SendOutcome outcome, long now) {
-        if (!written || !load.entry().accepting()) {
-            return;
-        }
-        String route = call.route().name();
-        switch (outcome) {
-            case ANSWERED, TIMED_OUT -> {
-                if (begun) {
-                    versionCounts().recordStreamEnd(load.entry(), route, sentMillis());
-                } else {
-                    versionCounts().recordAnswer(load.entry(), route, sentMillis(), false);
-                }
-            }
-            case FAILED -> versionCounts().recordAnswer(load.entry(), route, sentMillis(), true);
-            case BROKEN -> versionCounts().recordBroken(load.entry(), route, begun, now);
-            case REJECTED, UNREACHABLE -> {}
+    private void recordVersion(SendOutcome outcome, boolean wasBegun) {
+        if (written) {
+            String route = call.route().name();
+            call.state().versions().record(load.entry(), route, outcome, wasBegun, sentNanos);
         }
     }
 
-    /** Records that the endpoint did not answer before the request ended. */
+    /** Records that the endpoint has not answered before the deadline. */
     void recordUnanswered() {
-        if (written && !begun && !closed) {
-            versionCounts().recordAnswer(load.entry(), call.route().name(), sentMillis(), false);
+        if (!begun && !closed) {
+            recordVersion(SendOutcome.TIMED_OUT, false);
         }
     }
 
-    private VersionCounts versionCounts() {
-        return call.state().versions().counts();
-    }
-
-    private double sentMillis() {
-        return (now() - sentNanos) / (double) CallContext.NANOS_PER_MILLI;
-    }
-
     /** Returns the ids of the first parts of the prompt, for the log. */
     private String promptParts() {
         return call.request().prompt().map(Prompt::parts).orElse(List.of()).stream()
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -129,12 +129,8 @@
     }
 
     private List<EndpointLoad> candidates(long now) {
-        List<EndpointLoad> accepting = state.endpoints().accepting(service.name(), now);
-        return state
-                .versions()
-                .selector()
-                .allowed(service.name(), toNewVersion && sends == 0, accepting, now)
-                .stream()
+        boolean isNew = toNewVersion && sends == 0;
+        return state.endpointsFor(service.name(), isNew, now).stream()
                 .filter(e -> !triedEndpoints.contains(e.entry().id()))
                 .toList();
     }
@@ -174,8 +170,7 @@
                 e == null ? null : e.lastId(),
                 () -> {
                     state.counters().recordSend(service.name(), sends > 0);
-                    String version = chosen.endpoint().entry().version();
-                    state.versions().selector().recordSent(service.name(), version);
+                    state.versions().selector().recordSent(chosen.endpoint().entry());
                     sends++;
                     if (route.isRepeatable() && hasAttemptsLeft()) {
                         a.scheduleSlowResponseCheck();
@@ -235,6 +230,9 @@
     }
 
     private void timeOut() {
+        if (attempt != null) {
+            attempt.recordUnanswered();
+        }
         abandon("deadline");
     }
 
@@ -250,9 +248,6 @@
         if (ended) {
             return;
         }
-        if (attempt != null) {
-            attempt.recordUnanswered();
-        }
         mayHaveRun |= closeAttempt();
         end(Outcome.TIMED_OUT, cause);
         if (streamStarted) {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -2,12 +2,14 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.internal.deployment.Configuration;
 import org.carobdoor.internal.duty.UsageCounts;
+import org.carobdoor.internal.placement.EndpointLoad;
 import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
 import org.carobdoor.node.gateway.log.DecisionLog;
@@ -92,6 +94,16 @@
         return versions;
     }
 
+    /**
+     * Returns the endpoints that may get a request.
+     *
+     * @param isNew whether the request goes to a version that is being rolled out
+     */
+    List<EndpointLoad> endpointsFor(String service, boolean isNew, long nowNanos) {
+        List<EndpointLoad> accepting = endpoints.accepting(service, nowNanos);
+        return versions.selector().allowed(service, isNew, accepting, nowNanos);
+    }
+
     /** Marks the configuration and the endpoints as known. */
     public void setConfigured() {
         configured = true;
