--- a/node/src/main/java/org/carobdoor/node/gateway/forward/VersionRouting.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/VersionRouting.java
@@ -48,7 +48,9 @@
             }
             case FAILED -> counts.recordAnswer(endpoint, route, millis, true);
             case BROKEN -> counts.recordBroken(endpoint, route, begun, now);
-            case REJECTED, UNREACHABLE -> {}
+            default -> {
+                // The endpoint did not run the request.
+            }
         }
     }
 }
