--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
@@ -16,7 +15,6 @@
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
 import org.carobdoor.internal.peers.NodeCensus;
-import org.carobdoor.internal.rollout.RolloutBounds;
 import org.carobdoor.internal.store.NewsFollower;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
@@ -26,7 +24,6 @@
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.UsageWindow;
 import org.carobdoor.node.gateway.forward.ForwardingState;
-import org.carobdoor.node.gateway.forward.VersionRouting;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.node.gateway.settings.GatewaySettings;
 import org.carobdoor.platform.StoreKeys;
@@ -81,7 +78,7 @@
     private final QuarantineSync quarantineSync;
     private final QuotaLender quotaLender;
     private final @Nullable DutyRunner dutyRunner;
-    private final @Nullable RolloutRunner rolloutRunner;
+    private final RolloutRunner rolloutRunner;
     private final ClusterClock clock;
     private final ClusterUsage usage = ClusterUsage.create();
     private final DecisionLog log;
@@ -162,7 +159,17 @@
                         .orElse(null);
         this.random = random;
         storeNews = new StoreNewsExchange(loop, network, peers::storeReaders, log);
-        rolloutRunner = rolloutRunner();
+        rolloutRunner =
+                new RolloutRunner(
+                        loop,
+                        store,
+                        settings.bounds().rollouts(),
+                        dutyRunner,
+                        state,
+                        () -> clock.millis(System.nanoTime()),
+                        peers::nodeCount,
+                        run,
+                        log);
         if (dutyRunner != null) {
             eraChanges.add(dutyRunner::eraBegan);
         }
@@ -170,7 +177,7 @@
         Duration staleLimit = settings.bounds().staleLimit();
         configurationWatch =
                 watch(
-                        rolloutRunner == null ? StoreKeys.CONFIGURATION : StoreKeys.OPERATOR_PREFIX,
+                        rolloutRunner.operatorKeys(),
                         schedule(staleLimit),
                         () -> 0,
                         new ConfigurationListener());
@@ -191,25 +198,6 @@
                         new NodeKeysListener());
     }
 
-    private @Nullable RolloutRunner rolloutRunner() {
-        Optional<RolloutBounds> bounds = settings.bounds().rollouts();
-        DutyRunner duties = dutyRunner;
-        if (bounds.isEmpty() || duties == null) {
-            return null;
-        }
-        state.setVersions(VersionRouting.create(bounds));
-        return new RolloutRunner(
-                loop,
-                store,
-                bounds.get(),
-                duties,
-                state,
-                () -> clock.millis(System.nanoTime()),
-                peers::nodeCount,
-                run,
-                log);
-    }
-
     /** Adds a listener of the eras of the store; it writes again what it keeps there. */
     public void addEraListener(LongConsumer onNewEra) {
         eraChanges.add(onNewEra);
@@ -226,9 +214,7 @@
         if (dutyRunner != null) {
             dutyRunner.start();
         }
-        if (rolloutRunner != null) {
-            rolloutRunner.start();
-        }
+        rolloutRunner.start();
         GuardedTask.repeat(loop, "control", this::tick, TICK_INTERVAL_MILLIS, log);
         GuardedTask.repeat(loop, "traffic", this::logTraffic, TRAFFIC_SUMMARY_INTERVAL_MILLIS, log);
         GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
@@ -284,9 +270,7 @@
             dutyRunner.autoscaler().metrics().appendTo(to);
         }
         storeNews.writeMetrics(to);
-        if (rolloutRunner != null) {
-            rolloutRunner.writeMetrics(to);
-        }
+        rolloutRunner.writeMetrics(to);
     }
 
     private StoreWatch watch(
@@ -404,7 +388,7 @@
                 false,
                 store.era(),
                 List.of(),
-                rolloutRunner == null ? List.of() : rolloutRunner.ownEvidence());
+                rolloutRunner.ownEvidence());
     }
 
     @Override
@@ -422,9 +406,7 @@
         state.accountQuotas().applyNodeUse(sender, message.accounts(), age, now);
         state.endpoints().setRemoteUse(sender, message.endpoints(), message.isComplete());
         message.windows().forEach(w -> usage.report(sender, w.window(), w.counts()));
-        if (rolloutRunner != null) {
-            rolloutRunner.statusReceived(message);
-        }
+        rolloutRunner.statusReceived(message);
         if (dutyRunner != null) {
             dutyRunner.autoscaler().recordWork(sender, message.workMillis());
         }
@@ -471,7 +453,7 @@
         private void apply(StoreItem item) {
             if (item.key().equals(StoreKeys.CONFIGURATION)) {
                 mirror.applyConfiguration(item, "store");
-            } else if (rolloutRunner != null) {
+            } else {
                 GuardedTask.run(
                         "key " + item.key(), () -> rolloutRunner.operatorKeyWritten(item), log);
             }
@@ -550,9 +532,7 @@
             } else if (item.key().startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
                 quarantineSync.keyWritten(item);
             } else if (item.key().startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
-                if (rolloutRunner != null) {
-                    rolloutRunner.stateWritten(item);
-                }
+                rolloutRunner.stateWritten(item);
             } else if (dutyRunner != null) {
                 dutyRunner.keyWritten(item);
             }
@@ -564,9 +544,7 @@
             } else if (key.startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
                 quarantineSync.keyDeleted(key, revision);
             } else if (key.startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
-                if (rolloutRunner != null) {
-                    rolloutRunner.stateMissing(key, revision);
-                }
+                rolloutRunner.stateMissing(key, revision);
             } else if (dutyRunner != null) {
                 dutyRunner.keyMissing(key, revision);
             }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ServiceRollout.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ServiceRollout.java
@@ -66,11 +66,12 @@
         unconfirmed = null;
         storeBehind = false;
         state = newState;
+        boolean orderUnseen =
+                order == null
+                        && before != null
+                        && before.orderRevision() != newState.orderRevision();
         RolloutJudge j = judge;
-        boolean sameOrder = before != null && before.orderRevision() == newState.orderRevision();
-        if (j == null || !j.newVersion().equals(newState.to())) {
-            judgeAnew(newState.to());
-        } else if (before != null && !sameOrder && order == null) {
+        if (j == null || orderUnseen || !j.newVersion().equals(newState.to())) {
             judgeAnew(newState.to());
         }
         if (judge != null) {
