--- a/core/src/main/java/org/carobdoor/internal/peers/RelayPlan.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/RelayPlan.java
@@ -101,7 +101,8 @@
                 relay);
     }
 
-    private static List<String> relaysOf(Set<String> runs) {
+    /** Returns the relays of a zone with the nodes {@code runs}. */
+    static List<String> relaysOf(Set<String> runs) {
         int count = Math.max(MIN_RELAYS, (runs.size() + NODES_PER_RELAY - 1) / NODES_PER_RELAY);
         // Ranked by name, so that a node that restarts keeps its place; its earlier run may still
         // be listed, and shares it.
--- a/core/src/main/java/org/carobdoor/internal/peers/StoreReaderPlan.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StoreReaderPlan.java
@@ -48,6 +48,14 @@
         Set<String> candidates = new LinkedHashSet<>(others);
         candidates.removeAll(silent);
         candidates.add(ownRun);
+        Set<String> zoneRuns = new LinkedHashSet<>(others);
+        zoneRuns.add(ownRun);
+        Set<String> unloaded = new LinkedHashSet<>(candidates);
+        RelayPlan.relaysOf(zoneRuns).forEach(unloaded::remove);
+        if (unloaded.size() >= READERS_PER_ZONE) {
+            // Relays send the most already.
+            candidates = unloaded;
+        }
         // Ranked by name, so that a node that restarts keeps its place.
         List<String> readers =
                 Rendezvous.rank("store", candidates, NodeStatus::nodeOf).stream()
--- a/core/src/test/java/org/carobdoor/internal/peers/StoreReaderPlanTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/StoreReaderPlanTest.java
@@ -35,6 +35,9 @@
                 Set<String> told = new HashSet<>(plan.served());
                 told.addAll(plan.informed());
                 assertThat(told).hasSize(all.size() - 1);
+                if (live.size() > 9) {
+                    assertThat(RelayPlan.relaysOf(Set.copyOf(all))).doesNotContain(run);
+                }
                 assertThat(plan.served().size()).isAtMost((all.size() + 1) / 2);
             }
         }
