Learn the capacity of endpoints, and choose among them with old news of other nodes

Change: core/internal/capacity sums service times by load, from all nodes, aged out in seconds, with the limit up to which an endpoint takes load well. LearnedPlainPlacement and LearnedEnginePlacement draw two endpoints by learned weight and take the faster one by chance; homes of prompt parts stay; PromptLanes keeps engines free of long prompts of lower rank. HomeEngines is moved out of EnginePlacement unchanged. Nothing calls it yet.

--- a/core/src/main/java/org/carobdoor/internal/placement/EndpointLoad.java
+++ b/core/src/main/java/org/carobdoor/internal/placement/EndpointLoad.java
@@ -1,6 +1,7 @@
 package org.carobdoor.internal.placement;
 
 import org.carobdoor.internal.Rendezvous;
+import org.carobdoor.internal.capacity.LearnedCapacity;
 import org.carobdoor.internal.directory.EndpointEntry;
 import org.carobdoor.internal.health.EndpointHealth;
 
@@ -29,6 +30,7 @@
     private final ResidentParts residentParts;
     private final long idHash;
     private EndpointEntry entry;
+    private LearnedCapacity capacity;
     private int running;
     private int maxRunning = Integer.MAX_VALUE;
     private long unreadTokens;
@@ -43,6 +45,7 @@
 
     private EndpointLoad(EndpointEntry entry, long memoryTokens, long nowNanos) {
         this.entry = entry;
+        this.capacity = LearnedCapacity.nominal(entry.slots());
         this.residentParts = ResidentParts.create(memoryTokens);
         this.idHash = Rendezvous.hash(entry.id().value());
         this.warmUpEndNanos = nowNanos + entry.warmUpMillis() * 1_000_000L;
@@ -139,6 +142,16 @@
         answerMillis += MOVING_AVERAGE_WEIGHT * (millis - answerMillis);
     }
 
+    /** Sets what all nodes have learned of the endpoint. */
+    public void setCapacity(LearnedCapacity newer) {
+        capacity = newer;
+    }
+
+    /** Returns what all nodes have learned of the endpoint. */
+    public LearnedCapacity capacity() {
+        return capacity;
+    }
+
     /** Returns the number of requests of this node at the endpoint. */
     public int running() {
         return running;
--- a/core/src/main/java/org/carobdoor/internal/placement/EnginePlacement.java
+++ b/core/src/main/java/org/carobdoor/internal/placement/EnginePlacement.java
@@ -1,11 +1,8 @@
 package org.carobdoor.internal.placement;
 
 import java.util.Collection;
-import java.util.List;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.internal.request.Prompt;
-import org.carobdoor.internal.request.PromptPart;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the model engine with the shortest expected time to the first token.
@@ -20,12 +17,6 @@
  * that must not queue behind them, on engines that are added, removed or slowed down.
  */
 public final class EnginePlacement {
-    /**
-     * Share of a shared part that the second home is expected to prefill, averaged over its
-     * requests.
-     */
-    private static final double SECOND_HOME_PREFILL_SHARE = 0.4;
-
     /**
      * Delay added for each running request, because each one slows the decoding steps of an engine.
      */
@@ -68,7 +59,7 @@
         HomeEngines homes = HomeEngines.of(engines, prompt);
         FastestEndpointSelector selector = new FastestEndpointSelector(zone);
         for (EndpointLoad engine : engines) {
-            int newTokens = unreadTokens(engine, prompt, homes);
+            int newTokens = homes.unreadTokens(engine, prompt);
             double millis = (engine.totalUnreadTokens() + newTokens) / engine.tokensPerMilli();
             millis += engine.totalRunning() * DELAY_PER_RUNNING_MILLIS;
             millis += engine.remainingWarmUpMillis(nowNanos);
@@ -83,51 +74,4 @@
         }
         return selector.result(maxExpectedMillis, MIN_RETRY_AFTER_MILLIS);
     }
-
-    private static int unreadTokens(EndpointLoad engine, Prompt prompt, HomeEngines homes) {
-        List<PromptPart> parts = prompt.parts();
-        int partTokens = 0;
-        double unreadTokens = 0;
-        int residentCount = engine.residentParts().leadingResidentParts(parts);
-        for (int i = 0; i < parts.size(); i++) {
-            int tokens = parts.get(i).tokens();
-            partTokens += tokens;
-            if (i >= residentCount) {
-                unreadTokens +=
-                        tokens * (i < prompt.sharedParts() ? homes.shareToPrefill(engine) : 1);
-            }
-        }
-        return (int) unreadTokens + Math.max(0, prompt.promptTokens() - partTokens);
-    }
-
-    /** The two engines that all nodes prefer for the longest shared part of a prompt. */
-    private record HomeEngines(@Nullable EndpointLoad first, @Nullable EndpointLoad second) {
-        static HomeEngines of(Collection<EndpointLoad> engines, Prompt prompt) {
-            if (engines.isEmpty() || prompt.sharedParts() == 0) {
-                return new HomeEngines(null, null);
-            }
-            long key = prompt.parts().get(prompt.sharedParts() - 1).id();
-            EndpointLoad first = null;
-            EndpointLoad second = null;
-            long firstWeight = 0;
-            long secondWeight = 0;
-            for (EndpointLoad engine : engines) {
-                long weight = engine.weightFor(key);
-                if (first == null || Long.compareUnsigned(weight, firstWeight) > 0) {
-                    second = first;
-                    secondWeight = firstWeight;
-                    first = engine;
-                    firstWeight = weight;
-                } else if (second == null || Long.compareUnsigned(weight, secondWeight) > 0) {
-                    second = engine;
-                    secondWeight = weight;
-                }
-            }
-            return new HomeEngines(first, second);
-        }
-
-        double shareToPrefill(EndpointLoad engine) {
-            return engine == first ? 0 : engine == second ? SECOND_HOME_PREFILL_SHARE : 1;
-        }
-    }
 }
