Place requests by learned capacity in clusters of more than 24 nodes

Change: ServiceTimeProbe measures requests, statuses carry the evidence (at most six endpoints), LearnedCapacities refreshes the estimates each 200 ms and writes metrics and endpoint.limit lines; the round trip to another zone is measured when connections open. [placement] learned forces either rule; without it the number of nodes decides, and up to 24 nodes all is as before. Measured: CapacityModelTest, placement tests, EndpointTableTest, ChosenEndpointLeavesTest and the Gateway*, Forward*, *Settings* tests pass.

--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -79,6 +79,7 @@
         long startedAt = System.currentTimeMillis();
         String run = NodeStatus.runOf(settings.name(), startedAt);
         EndpointTable endpoints = EndpointTable.create(loop, log);
+        endpoints.capacities().setSetting(settings.learnedPlacement());
         state =
                 new ForwardingState(
                         run,
@@ -181,6 +182,7 @@
         RetryMetrics.write(state.retries(), text);
         state.endpoints().unexpectedAnswers().write(text);
         state.endpoints().news().write(text);
+        state.endpoints().capacities().write(text);
         state.quarantine().writeMetrics(text);
         controlLoop.writeMetrics(text);
         text.append("# TYPE carobdoor_gateway_caller_connections gauge\n")
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -280,6 +280,7 @@
         logStaleness(now);
         directory.expire(now);
         state.endpoints().closeIdleConnections(now);
+        state.endpoints().capacities().refresh(now);
         state.endpoints().setUnreachableZones(peers.silentZones());
         if (nodeListLoaded) {
             state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), now);
@@ -311,7 +312,10 @@
                 state.quarantine().digest(),
                 0,
                 true,
-                false);
+                false,
+                0,
+                state.endpoints().capacities().nextEvidence(),
+                List.of());
     }
 
     @Override
@@ -327,6 +331,7 @@
         long age = message.timeMillis() - message.startedAtMillis();
         state.accountQuotas().applyNodeUse(sender, message.accounts(), age, now);
         state.endpoints().setRemoteUse(sender, message.endpoints(), message.isComplete());
+        state.endpoints().capacities().receive(sender, message.evidence());
         message.windows().forEach(w -> usage.report(sender, w.window(), w.counts()));
         if (dutyRunner != null) {
             dutyRunner.autoscaler().recordWork(sender, message.workMillis());
@@ -336,7 +341,7 @@
     @Override
     public void peerRemoved(String peerRun) {
         state.accountQuotas().removeNode(peerRun);
-        state.endpoints().removeRemoteUse(peerRun);
+        state.endpoints().removeSender(peerRun);
         quarantineSync.peerRemoved(peerRun);
         if (dutyRunner != null) {
             dutyRunner.autoscaler().removeRun(peerRun);
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointConnectionPool.java
@@ -72,6 +72,7 @@
     private final ResponseBufferLimit bufferLimit;
     private final UnexpectedAnswerListener unexpectedAnswers;
     private final ConnectionReuse reuse = ConnectionReuse.create();
+    private LongConsumer connectedListener = nanos -> {};
     private int openCount;
     private int maxOpen;
     private boolean closed;
@@ -103,6 +104,11 @@
                 (Math.min(MAX_IDLE_MILLIS, millis * USABLE_KEEP_ALIVE_FRACTION) * NANOS_PER_MILLI);
     }
 
+    /** Sets the receiver of the time that opening a connection took, in nanoseconds. */
+    void onConnected(LongConsumer listener) {
+        connectedListener = listener;
+    }
+
     int openCount() {
         return openCount;
     }
@@ -141,6 +147,7 @@
     private void connect(AcquireListener listener) {
         openCount++;
         openListener.run();
+        long start = System.nanoTime();
         EndpointCodec codec = new EndpointCodec(codecConfig());
         EndpointConnection c =
                 new EndpointConnection(
@@ -152,6 +159,7 @@
                 (ChannelFutureListener)
                         f -> {
                             if (f.isSuccess()) {
+                                connectedListener.accept(System.nanoTime() - start);
                                 listener.onAcquired(c);
                             } else {
                                 c.close();
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -54,6 +54,7 @@
     private final EventLoop loop;
     private final EndpointNewsLog news;
     private final UnexpectedAnswers unexpectedAnswers;
+    private final LearnedCapacities capacities;
     private Optional<Configuration> configuration = Optional.empty();
     private int nodeCount = 1;
     private Set<AvailabilityZone> unreachableZones = Set.of();
@@ -64,6 +65,7 @@
         this.loop = loop;
         this.news = new EndpointNewsLog(log);
         this.unexpectedAnswers = new UnexpectedAnswers(log);
+        this.capacities = new LearnedCapacities(log);
     }
 
     /** Returns an empty table. */
@@ -143,6 +145,11 @@
         return news;
     }
 
+    /** Returns what the nodes have learned of the endpoints. */
+    public LearnedCapacities capacities() {
+        return capacities;
+    }
+
     /** Returns the response bytes that are buffered because no caller has received them yet. */
     public long bufferedResponseBytes() {
         return bufferLimit.heldBytes();
@@ -152,6 +159,7 @@
     public void configure(Configuration newConfiguration, int count) {
         configuration = Optional.of(newConfiguration);
         nodeCount = Math.max(1, count);
+        capacities.setNodes(nodeCount);
         for (Endpoint e : byId.values()) {
             e.setMaxConnections(maxConnections(e.load().entry().service()));
         }
@@ -181,6 +189,12 @@
         }
     }
 
+    /** Removes what a node that has left reported. */
+    public void removeSender(String run) {
+        removeRemoteUse(run);
+        capacities.removeSender(run);
+    }
+
     /** Removes the load reported by a node that has left. */
     public void removeRemoteUse(String run) {
         Map<EndpointId, EndpointUse> previous = remoteUse.remove(run);
@@ -224,6 +238,8 @@
                         () -> connectionsOpened++,
                         unexpectedAnswers.listener(entry.id()));
         byId.put(entry.id(), e);
+        capacities.put(e);
+        e.connections().onConnected(n -> capacities.recordConnected(entry.zone(), n));
         // Other nodes may have learned of the endpoint earlier and reported load on it.
         for (Map<EndpointId, EndpointUse> uses : remoteUse.values()) {
             EndpointUse u = uses.get(entry.id());
@@ -248,6 +264,7 @@
             return;
         }
         e.update(after, evidence);
+        capacities.put(e);
         news.changed(before, after, evidence);
     }
 
@@ -255,6 +272,7 @@
     public void removed(EndpointEntry last, EndpointNews evidence) {
         Endpoint e = byId.remove(last.id());
         if (e != null) {
+            capacities.remove(last.id().value());
             byService.getOrDefault(last.service(), new ArrayList<>()).remove(e.load());
             e.remove(evidence);
             news.unlisted(last, evidence);
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.carobdoor.internal.deployment.Account;
 import org.carobdoor.internal.deployment.Route;
 import org.carobdoor.internal.deployment.RouteKind;
@@ -57,6 +58,16 @@
                         exchange.head().method(), HttpResponseStatus.valueOf(decodedHead.status()));
     }
 
+    /**
+     * Returns the rank of the request: that of the account, or else of the route; 0 is the highest.
+     */
+    int rank() {
+        return account.map(Account::priority)
+                .filter(OptionalInt::isPresent)
+                .orElse(OptionalInt.of(route.priority()))
+                .getAsInt();
+    }
+
     String accountName() {
         return account.map(a -> a.id().value()).orElse("-");
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.carobdoor.EndpointId;
-import org.carobdoor.internal.deployment.Account;
 import org.carobdoor.internal.deployment.RouteKind;
 import org.carobdoor.internal.directory.EndpointNews;
 import org.carobdoor.internal.health.SendOutcome;
@@ -80,6 +79,7 @@
     private final int prefillTokens;
     private final long promptTokens;
     private final long queuedPrefillTokens;
+    private @Nullable ServiceTimeProbe serviceTime;
     private @Nullable ScheduledFuture<?> slowResponseTimer;
     private @Nullable HttpResponse head;
     private @Nullable EndpointAnswer decodedHead;
@@ -186,6 +186,7 @@
                 message, call.exchange().head(), endpointRequest(remainingMillis, lastEventId));
         sentNanos = now;
         written = true;
+        serviceTime = ServiceTimeProbe.start(call, load, prefillTokens + queuedPrefillTokens, now);
         beforeWrite.run();
         call.request().prompt().ifPresent(p -> load.residentParts().recordPrefill(p.parts()));
         endpointExchange.write(message, call.request().id(), this);
@@ -208,13 +209,7 @@
     private EndpointRequest endpointRequest(long remainingMillis, @Nullable String lastEventId) {
         OptionalInt urgency = OptionalInt.empty();
         if (call.service().engine().isPresent()) {
-            int priority =
-                    call.account()
-                            .map(Account::priority)
-                            .filter(OptionalInt::isPresent)
-                            .orElse(OptionalInt.of(call.route().priority()))
-                            .getAsInt();
-            urgency = OptionalInt.of(Math.clamp(priority, 0, MAX_URGENCY));
+            urgency = OptionalInt.of(Math.clamp(call.rank(), 0, MAX_URGENCY));
         }
         return new EndpointRequest(
                 remainingMillis,
@@ -299,6 +294,7 @@
         if (!begun) {
             begun = true;
             begunNanos = now();
+            recordServiceTime(true);
         } else if (now() - begunNanos >= JUST_BEGUN_NANOS) {
             recordSurvived();
         }
@@ -340,6 +336,7 @@
             recordOutcome(
                     failed ? SendOutcome.FAILED : SendOutcome.ANSWERED, "status " + a.status());
             if (!failed) {
+                recordServiceTime(true);
                 load.updateAnswerTime((now() - sentNanos) / (double) CallContext.NANOS_PER_MILLI);
             }
             listener.onResponse(h, a, content);
@@ -369,6 +366,14 @@
         }
     }
 
+    private void recordServiceTime(boolean answered) {
+        ServiceTimeProbe p = serviceTime;
+        serviceTime = null;
+        if (p != null) {
+            p.end(answered, now());
+        }
+    }
+
     private void recordCrash(List<RequestFeatures> requests) {
         // An endpoint that has been told to leave, or has left the directory, ends on purpose.
         EndpointId id = load.entry().id();
@@ -441,6 +446,9 @@
             return;
         }
         closed = true;
+        if (head == null) {
+            recordServiceTime(false);
+        }
         if (slowResponseTimer != null) {
             slowResponseTimer.cancel(false);
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -128,6 +128,9 @@
     private Placement selectEndpoint(List<EndpointLoad> candidates, long now) {
         double maxQueueMillis = call.remainingMillis(now) * MAX_QUEUE_TIME_FRACTION;
         Optional<Prompt> prompt = call.request().prompt();
+        if (state.endpoints().capacities().isEnabled()) {
+            return LearnedSelection.choose(call, candidates, maxQueueMillis, now);
+        }
         if (service.engine().isEmpty() || prompt.isEmpty()) {
             return PlainPlacement.choose(candidates, state.zone(), maxQueueMillis, now);
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettings.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettings.java
@@ -20,6 +20,8 @@
  * @param clusterKeys shared keys with which nodes authenticate each other; the first one is used
  *     for sending
  * @param bounds the limits that the platform sets
+ * @param learnedPlacement whether requests are placed by the learned capacity of endpoints; empty
+ *     to decide by the number of nodes
  * @param logLevel the log level
  */
 public record GatewaySettings(
@@ -34,6 +36,7 @@
         Optional<InetSocketAddress> cloud,
         List<String> clusterKeys,
         GatewayBounds bounds,
+        Optional<Boolean> learnedPlacement,
         String logLevel) {
 
     /** Makes a defensive copy of the keys. */
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -56,6 +56,7 @@
                 duties.isEmpty() ? Optional.empty() : Optional.of(cloud),
                 SettingsFile.keys(root.table("peers"), "cluster_keys"),
                 bounds(root.table("bounds"), duties),
+                optionalBool(root.table("placement"), "learned"),
                 SettingsFile.logLevel(root.table("log")));
     }
 
@@ -76,6 +77,12 @@
                         duration(table, "retry_window", Duration.ofSeconds(10)).toNanos()));
     }
 
+    private static Optional<Boolean> optionalBool(TomlTable table, String key) {
+        boolean value = table.bool(key, false);
+        boolean set = table.bool(key, true) == value;
+        return set ? Optional.of(value) : Optional.empty();
+    }
+
     private static Duration duration(TomlTable table, String key, Duration defaultValue) {
         return table.duration(key, defaultValue, Duration.ofMillis(100), Duration.ofMinutes(10));
     }
