--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -353,6 +353,7 @@
         logStaleness(now);
         directory.expire(now);
         state.endpoints().closeIdleConnections(now);
+        state.endpoints().capacities().refresh(now);
         state.endpoints().setUnreachableZones(peers.silentZones());
         if (nodeListLoaded) {
             state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), now);
@@ -387,7 +388,7 @@
                 true,
                 false,
                 store.era(),
-                List.of(),
+                state.endpoints().capacities().nextEvidence(),
                 rolloutRunner.ownEvidence());
     }
 
@@ -405,6 +406,7 @@
         long age = message.timeMillis() - message.startedAtMillis();
         state.accountQuotas().applyNodeUse(sender, message.accounts(), age, now);
         state.endpoints().setRemoteUse(sender, message.endpoints(), message.isComplete());
+        state.endpoints().capacities().receive(sender, message.evidence());
         message.windows().forEach(w -> usage.report(sender, w.window(), w.counts()));
         rolloutRunner.statusReceived(message);
         if (dutyRunner != null) {
@@ -415,7 +417,7 @@
     @Override
     public void peerRemoved(String peerRun) {
         state.accountQuotas().removeNode(peerRun);
-        state.endpoints().removeRemoteUse(peerRun);
+        state.endpoints().removeSender(peerRun);
         quarantineSync.peerRemoved(peerRun);
         if (dutyRunner != null) {
             dutyRunner.autoscaler().removeRun(peerRun);
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -59,6 +59,7 @@
                 duties.isEmpty() ? Optional.empty() : Optional.of(cloud),
                 SettingsFile.keys(root.table("peers"), "cluster_keys"),
                 bounds(root.table("bounds"), duties),
+                optionalBool(root.table("placement"), "learned"),
                 SettingsFile.logLevel(root.table("log")));
     }
 
@@ -87,6 +88,12 @@
         return share > 0 ? Optional.of(new RolloutBounds(share, (long) slack)) : Optional.empty();
     }
 
+    private static Optional<Boolean> optionalBool(TomlTable table, String key) {
+        boolean value = table.bool(key, false);
+        boolean set = table.bool(key, true) == value;
+        return set ? Optional.of(value) : Optional.empty();
+    }
+
     private static Duration duration(TomlTable table, String key, Duration defaultValue) {
         return table.duration(key, defaultValue, Duration.ofMillis(100), Duration.ofMinutes(10));
     }
