Let the floor of the current need fall faster than the peak

Cause: since nodes keep the peak across a change of the duty holder, the floor of 0.75 of a burst's peak would order on-demand engines for longer where a new holder used to forget it. Change: the floor declines by 6 % of its excess per half second, the peak by 3 %.

--- a/core/src/main/java/org/carobdoor/internal/fleet/FleetDemand.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/FleetDemand.java
@@ -36,6 +36,12 @@
      */
     private static final double EXCESS_DECLINE_PER_ESTIMATE = 0.03;
 
+    /**
+     * The same for the floor of the current need, for which on-demand engines are ordered, at
+     * several times the price, while no reclaimable ones are available.
+     */
+    private static final double FLOOR_EXCESS_DECLINE_PER_ESTIMATE = 0.06;
+
     /** Fraction of the engines of the last peak that are kept even during low load. */
     private static final double MIN_PEAK_FRACTION = 0.75;
 
@@ -48,9 +54,11 @@
     public record Engines(int peak, int now) {}
 
     private final double excessDecline;
+    private final double floorExcessDecline;
     private double workMillisPerSecond;
     private int measurements;
     private double decayingPeak;
+    private double decayingFloor;
     private int maxOnDemand;
     private boolean orderedByEarlierNode;
     private boolean observing;
@@ -58,16 +66,17 @@
 
     /** Returns an estimator without any measurement. */
     public static FleetDemand create() {
-        return new FleetDemand(EXCESS_DECLINE_PER_ESTIMATE);
+        return new FleetDemand(EXCESS_DECLINE_PER_ESTIMATE, FLOOR_EXCESS_DECLINE_PER_ESTIMATE);
     }
 
     /** Returns an estimator whose peak falls at a constant rate, whatever its excess. */
     static FleetDemand withConstantDecline() {
-        return new FleetDemand(0);
+        return new FleetDemand(0, 0);
     }
 
-    private FleetDemand(double excessDecline) {
+    private FleetDemand(double excessDecline, double floorExcessDecline) {
         this.excessDecline = excessDecline;
+        this.floorExcessDecline = floorExcessDecline;
     }
 
     /** Adds a measurement of the engine time of arriving requests, in milliseconds per second. */
@@ -95,11 +104,10 @@
     public Optional<Engines> estimate(int onDemand, int reclaimable, long nowNanos) {
         if (measurements >= MIN_MEASUREMENTS) {
             int now = EngineFleetPolicy.enginesFor(workMillisPerSecond);
-            double decline = Math.max(DECLINE_PER_ESTIMATE, excessDecline * (decayingPeak - now));
-            decayingPeak = Math.max(now, decayingPeak - decline);
-            int peak = (int) Math.ceil(decayingPeak);
-            return Optional.of(
-                    new Engines(peak, Math.max(now, ceil(decayingPeak * MIN_PEAK_FRACTION))));
+            decayingPeak = declined(decayingPeak, now, excessDecline);
+            decayingFloor = declined(decayingFloor, now, floorExcessDecline);
+            int current = Math.max(now, ceil(decayingFloor * MIN_PEAK_FRACTION));
+            return Optional.of(new Engines(ceil(decayingPeak), current));
         }
         if (!observing) {
             observing = true;
@@ -116,9 +124,15 @@
             return Optional.empty();
         }
         decayingPeak = maxOnDemand;
+        decayingFloor = maxOnDemand;
         return Optional.of(new Engines(maxOnDemand, maxOnDemand));
     }
 
+    private static double declined(double peak, int now, double excessDecline) {
+        double decline = Math.max(DECLINE_PER_ESTIMATE, excessDecline * (peak - now));
+        return Math.max(now, peak - decline);
+    }
+
     private static int ceil(double value) {
         return (int) Math.ceil(value);
     }
