--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.carobdoor.EndpointId;
+import org.carobdoor.internal.store.StoreRevision;
 
 /**
  * The endpoints registered in the platform's store, kept up to date by a watch.
@@ -24,6 +25,9 @@
  * <p>An endpoint that has said in an answer that it is leaving gets no new requests until it starts
  * again, whatever the store says.
  *
+ * <p>A store that comes back from an older copy lacks endpoints that have registered since, which
+ * are kept as after an outage, and lists some that have left since ({@link FormerEntries}).
+ *
  * <p>Not thread-safe.
  */
 public final class EndpointDirectory {
@@ -57,6 +61,9 @@
      */
     private record Leaving(EndpointEntry entry, long saidAtNanos) {}
 
+    /** An entry expires after three heartbeats; the first may be a fraction of one late. */
+    private static final int EXPIRY_HEARTBEATS = 4;
+
     private record Listed(EndpointEntry entry, long revision) {}
 
     private final Map<EndpointId, Listed> listed = new HashMap<>();
@@ -66,10 +73,15 @@
     private boolean loaded;
     private long revision;
     private final StoreOutage outage;
+    private final FormerEntries former;
+
+    /** The last time that was given, for calls without one. */
+    private long lastNanos;
 
     private EndpointDirectory(DirectoryListener listener, Duration heartbeat) {
         this.listener = listener;
         this.outage = StoreOutage.create(heartbeat);
+        this.former = new FormerEntries(EXPIRY_HEARTBEATS * heartbeat.toNanos());
     }
 
     /** Returns an empty directory. */
@@ -125,18 +137,22 @@
      * of an endpoint that is not known any more.
      */
     public void put(EndpointEntry registered, long entryRevision, NewsSource source) {
-        EndpointEntry entry = isLeaving(registered) ? registered.withoutAccepting() : registered;
-        Listed before = listed.get(entry.id());
+        Listed before = listed.get(registered.id());
         long known = before == null ? revision : before.revision;
         if (entryRevision <= known) {
             return;
         }
+        EndpointEntry usable = former.usable(registered, entryRevision, lastNanos);
+        EndpointEntry entry = isLeaving(usable) ? usable.withoutAccepting() : usable;
+        if (!registered.accepting()) {
+            former.record(registered, true, entryRevision, lastNanos);
+        }
         missingUntilNanos.remove(entry.id());
         listed.put(entry.id(), new Listed(entry, entryRevision));
         EndpointNews news = new EndpointNews(source, entryRevision);
         if (before == null) {
             listener.started(entry, news);
-        } else if (before.entry.isRestartedAs(entry)) {
+        } else if (isRestart(before, entry, entryRevision)) {
             listener.removed(before.entry, news);
             listener.started(entry, news);
         } else if (!before.entry.equals(entry)) {
@@ -144,14 +160,27 @@
         }
     }
 
+    private static boolean isRestart(Listed before, EndpointEntry entry, long entryRevision) {
+        // In an older copy, the sequence of a start is lower than it was.
+        return StoreRevision.isLaterEra(entryRevision, before.revision)
+                ? !FormerEntries.isSameStart(before.entry, entry)
+                : before.entry.isRestartedAs(entry);
+    }
+
     /** Applies the removal of an entry; right after an outage, the entry is kept temporarily. */
     public void remove(EndpointId id, long removalRevision, NewsSource source, long nowNanos) {
+        lastNanos = nowNanos;
         revision = Math.max(revision, removalRevision);
         Listed before = listed.get(id);
         if (before == null || before.revision >= removalRevision) {
             return;
         }
-        if (before.entry.accepting() && outage.isLapsePossible(nowNanos)) {
+        boolean lostByStore =
+                StoreRevision.isLaterEra(removalRevision, before.revision)
+                        && !outage.othersWereServed();
+        if (before.entry.accepting() && lostByStore) {
+            missingUntilNanos.putIfAbsent(id, nowNanos + LAPSE_GRACE_NANOS);
+        } else if (before.entry.accepting() && outage.isLapsePossible(nowNanos)) {
             missingUntilNanos.putIfAbsent(id, outage.graceEndsAtNanos());
         } else {
             removeEntry(id, new EndpointNews(source, removalRevision));
@@ -176,8 +205,14 @@
             long storeRevision,
             NewsSource source,
             long nowNanos) {
+        lastNanos = nowNanos;
+        boolean newEra = StoreRevision.isLaterEra(storeRevision, revision);
         Set<EndpointId> present = new HashSet<>();
         for (EndpointEntry e : entries) {
+            if (newEra && FormerEntries.isEarlierStart(e, find(e.id()).orElse(null))) {
+                // The copy is from before the restart; it lacks the entry that is known.
+                continue;
+            }
             present.add(e.id());
             put(e, revisions.getOrDefault(e.id(), storeRevision), source);
         }
@@ -234,6 +269,8 @@
      * Forgets endpoints that said long ago that they are leaving and are not listed.
      */
     public void expire(long nowNanos) {
+        lastNanos = nowNanos;
+        former.expire(nowNanos).forEach(this::useAgain);
         List<EndpointId> gone = new ArrayList<>();
         missingUntilNanos.forEach(
                 (id, until) -> {
@@ -252,6 +289,18 @@
         gone.forEach(id -> removeEntry(id, lapseOf(id)));
     }
 
+    /** Uses an entry that was held back, and that a gone endpoint would have lost by now. */
+    private void useAgain(EndpointEntry registered) {
+        Listed current = listed.get(registered.id());
+        if (current != null
+                && current.entry.equals(registered.withoutAccepting())
+                && !isLeaving(registered)) {
+            listed.put(registered.id(), new Listed(registered, current.revision));
+            EndpointNews news = new EndpointNews(NewsSource.lapse(), current.revision);
+            listener.changed(current.entry, registered, news);
+        }
+    }
+
     private void stopAccepting(EndpointId id, EndpointNews news) {
         Listed last = listed.get(id);
         if (last != null && last.entry.accepting()) {
@@ -270,6 +319,7 @@
         missingUntilNanos.remove(id);
         Listed last = listed.remove(id);
         if (last != null) {
+            former.record(last.entry, false, Math.max(revision, last.revision), lastNanos);
             listener.removed(last.entry, news);
         }
     }
--- a/core/src/main/java/org/carobdoor/internal/directory/StoreOutage.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/StoreOutage.java
@@ -33,6 +33,7 @@
     private boolean unavailable;
     private boolean lapsePossible;
     private boolean othersServed;
+    private boolean othersWereServed;
     private boolean answeredBefore;
     private long lastReplyNanos;
     private long othersServedAtNanos;
@@ -68,13 +69,14 @@
      * @param graceNanos how long missing entries may have expired in an outage that ends now
      */
     void recordReply(long nowNanos, long graceNanos) {
+        othersWereServed = unavailable && wereOthersServed(nowNanos);
         if (unavailable) {
             unavailable = false;
             boolean longSilence = !answeredBefore || nowNanos - lastReplyNanos >= minSilenceNanos;
             lapsePossible =
                     nowNanos - failingSinceNanos >= MIN_FAILING_NANOS
                             && longSilence
-                            && !wereOthersServed(nowNanos);
+                            && !othersWereServed;
             graceEndsAtNanos = nowNanos + graceNanos;
         }
         answeredBefore = true;
@@ -97,6 +99,11 @@
         return othersServed && nowNanos - othersServedAtNanos > MAX_RETURN_SPREAD_NANOS;
     }
 
+    /** Returns whether others had the store for some time before the last reply to this node. */
+    boolean othersWereServed() {
+        return othersWereServed;
+    }
+
     /** Returns whether an entry that is missing now may have expired in an outage. */
     boolean isLapsePossible(long nowNanos) {
         return !unavailable && lapsePossible && nowNanos - graceEndsAtNanos < 0;
--- a/core/src/main/java/org/carobdoor/internal/duty/DutyLease.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/DutyLease.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
+import org.carobdoor.internal.store.StoreRevision;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,6 +14,13 @@
  * measured from before its last renewal was sent. The monotonic clock stops while a VM is
  * suspended, so the lease must also be valid by the wall clock.
  *
+ * <p>A store that comes back from an older copy has lost leases, and may have the key of a holder
+ * that renews no lease any more. In each era of the store the duties are therefore taken anew: the
+ * former holder, which knows that it has stopped, may take them at once, and all others after the
+ * time in which it may not have learned of the era. A key that was written in a former era is
+ * replaced. Fencing tokens rise across eras, as they are combined with the era ({@link
+ * StoreRevision}).
+ *
  * <p>The caller performs one step at a time and reports its outcome. Not thread-safe.
  */
 public final class DutyLease {
@@ -27,6 +35,9 @@
     /** Upper bound of the random delay before acquiring a free key, which reduces collisions. */
     private static final long MAX_JITTER_MILLIS = 300;
 
+    /** Before the era in a token; tokens of era 0 have none. */
+    private static final String ERA_MARK = "/era-";
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private enum Phase {
@@ -40,8 +51,18 @@
     private Phase phase = Phase.OBSERVING;
     private boolean eligible = true;
     private boolean stepPending;
+
+    /** Whether the pending step was taken in a former era, so that its outcome has no effect. */
+    private boolean stepIsVoid;
+
     private boolean keyKnown;
     private boolean keyPresent;
+    private @Nullable String keyValue;
+    private long keyRevision;
+    private @Nullable String formerKeyValue;
+    private long era;
+    private boolean waitingForEra;
+    private long eraNotBeforeNanos;
     private long notBeforeNanos;
     private long lease;
     private long fencingToken;
@@ -84,19 +105,66 @@
                             ? startStep(new DutyStep.Renew(lease), nowNanos, wallMillis)
                             : new DutyStep.Wait();
             case LEASED -> {
-                token = node + "/" + ++attempt;
-                yield startStep(new DutyStep.WriteHolder(lease, token), nowNanos, wallMillis);
+                token = node + "/" + ++attempt + (era == 0 ? "" : ERA_MARK + era);
+                yield startStep(
+                        new DutyStep.WriteHolder(lease, token, keyPresent ? keyRevision : 0),
+                        nowNanos,
+                        wallMillis);
             }
             case OBSERVING ->
-                    eligible && keyKnown && !keyPresent && nowNanos - notBeforeNanos >= 0
+                    eligible && keyKnown && isKeyFree() && nowNanos - notBeforeNanos >= 0
                             ? startStep(new DutyStep.TakeLease(), nowNanos, wallMillis)
                             : new DutyStep.Wait();
         };
     }
 
+    /**
+     * Reports that the store is in a new era, in which this node holds nothing.
+     *
+     * @param newEra the era
+     * @param leaseMillis how long another node may act that does not know of the era yet
+     */
+    public void eraBegan(long newEra, long leaseMillis, long nowNanos) {
+        waitingForEra = phase != Phase.HOLDING;
+        eraNotBeforeNanos = nowNanos + leaseMillis * NANOS_PER_MILLI;
+        era = newEra;
+        formerKeyValue = keyValue == null ? formerKeyValue : keyValue;
+        keyKnown = false;
+        keyPresent = false;
+        keyValue = null;
+        keyRevision = 0;
+        token = null;
+        stepIsVoid = stepPending;
+        stepDown(nowNanos);
+    }
+
+    /** Reports the era in which this node first reached the store. */
+    public void eraKnown(long firstEra) {
+        era = firstEra;
+    }
+
+    /** Returns whether no holder of this era has written the key. */
+    private boolean isKeyFree() {
+        return !keyPresent || keyValue == null || isOfFormerEra(keyValue);
+    }
+
+    private boolean isOfFormerEra(String value) {
+        if (era == 0) {
+            return false;
+        }
+        int mark = value.lastIndexOf(ERA_MARK);
+        if (mark < 0) {
+            // Written in era 0, or by a node of an earlier release, which knows no eras.
+            return value.equals(formerKeyValue);
+        }
+        return !value.substring(mark + ERA_MARK.length()).equals(Long.toString(era));
+    }
+
     /** Reports that the store granted a lease of {@code ttlMillis} from the arrival of the call. */
     public void leaseTaken(long newLease, long ttlMillis) {
-        stepPending = false;
+        if (endVoidStep()) {
+            return;
+        }
         lease = newLease;
         phase = Phase.LEASED;
         extendLease(ttlMillis);
@@ -104,13 +172,17 @@
 
     /** Reports that the store renewed the lease. */
     public void renewed(long ttlMillis) {
-        stepPending = false;
+        if (endVoidStep()) {
+            return;
+        }
         extendLease(ttlMillis);
     }
 
     /** Reports that the holder's key was written at {@code revision}. */
     public void holderWritten(long revision) {
-        stepPending = false;
+        if (endVoidStep()) {
+            return;
+        }
         startHolding(revision);
     }
 
@@ -119,13 +191,17 @@
      * duties.
      */
     public void refused(long nowNanos) {
-        stepPending = false;
+        if (endVoidStep()) {
+            return;
+        }
         stepDown(nowNanos);
     }
 
     /** Reports that the outcome of the step is unknown; the watch on the store will show it. */
     public void unanswered(long nowNanos) {
-        stepPending = false;
+        if (endVoidStep()) {
+            return;
+        }
         if (phase != Phase.HOLDING) {
             // The lease stays valid: if the write took effect, the watch on the store shows it.
             phase = Phase.OBSERVING;
@@ -139,6 +215,10 @@
     public void keyWritten(String value, long revision, long nowNanos, long wallMillis) {
         keyKnown = true;
         keyPresent = true;
+        if (revision >= keyRevision) {
+            keyValue = value;
+            keyRevision = revision;
+        }
         boolean own = value.equals(token);
         if (own && phase != Phase.HOLDING && isLeaseValid(nowNanos, wallMillis)) {
             startHolding(revision);
@@ -194,6 +274,8 @@
         fencingToken = revision;
         keyKnown = true;
         keyPresent = true;
+        keyValue = token;
+        keyRevision = revision;
     }
 
     private void extendLease(long ttlMillis) {
@@ -210,7 +292,16 @@
     }
 
     private void delayNextAttempt(long nowNanos) {
-        notBeforeNanos = nowNanos + random.nextLong(MAX_JITTER_MILLIS) * NANOS_PER_MILLI;
+        long first = waitingForEra ? Math.max(0, eraNotBeforeNanos - nowNanos) : 0;
+        notBeforeNanos = nowNanos + first + random.nextLong(MAX_JITTER_MILLIS) * NANOS_PER_MILLI;
+    }
+
+    /** Ends the pending step; returns whether its outcome has no effect. */
+    private boolean endVoidStep() {
+        boolean isVoid = stepIsVoid;
+        stepPending = false;
+        stepIsVoid = false;
+        return isVoid;
     }
 
     private DutyStep startStep(DutyStep step, long nowNanos, long wallMillis) {
--- a/core/src/main/java/org/carobdoor/internal/duty/DutyStep.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/DutyStep.java
@@ -10,12 +10,14 @@
     record TakeLease() implements DutyStep {}
 
     /**
-     * Write the holder's key with the lease attached, on condition that the key does not exist.
+     * Write the holder's key with the lease attached, on condition that no other node has.
      *
      * @param lease the lease
      * @param token the value to write, unique per attempt
+     * @param expectedRevision the revision of the key, which a holder of a former era wrote; 0 if
+     *     the key must not exist
      */
-    record WriteHolder(long lease, String token) implements DutyStep {}
+    record WriteHolder(long lease, String token, long expectedRevision) implements DutyStep {}
 
     /**
      * Renew the lease.
--- a/core/src/main/java/org/carobdoor/internal/duty/UsageReports.java
+++ b/core/src/main/java/org/carobdoor/internal/duty/UsageReports.java
@@ -12,6 +12,11 @@
  * report sends the stored counts. A report whose outcome is unknown can therefore be repeated, by
  * this or a later holder of the duties, with identical counts.
  *
+ * <p>A store that comes back from an older copy may lack windows that were recorded, and perhaps
+ * reported, since. The record of a former era is therefore merged with what this node knows, and
+ * written before anything is reported. A window that may have been reported with counts that this
+ * node does not know is not reported.
+ *
  * <p>Not thread-safe.
  */
 public final class UsageReports {
@@ -37,6 +42,7 @@
     private final UsageCounts windows;
     private long lastRecorded = Long.MIN_VALUE;
     private long notBeforeMillis = Long.MIN_VALUE;
+    private boolean storeIsBehind;
 
     private UsageReports(UsageCounts windows) {
         this.windows = windows;
@@ -47,13 +53,32 @@
         return new UsageReports(windows);
     }
 
-    /** Replaces the recorded windows with those in the store. */
+    /** Replaces the recorded windows with those in the store, written in its current era. */
     public void loadRecorded(RecordedUsage record) {
+        storeIsBehind = false;
         recorded.clear();
         recorded.putAll(record.windows());
         lastRecorded = Math.max(lastRecorded, record.lastWindow());
     }
 
+    /**
+     * Merges the recorded windows with those in the store, which were written in a former era.
+     *
+     * @param complete whether this node knows all windows that were recorded before this era, since
+     *     it recorded them itself
+     */
+    public void mergeFormer(RecordedUsage record, boolean complete, long nowMillis) {
+        storeIsBehind = true;
+        record.windows().forEach(recorded::putIfAbsent);
+        trim(recorded);
+        lastRecorded = Math.max(lastRecorded, record.lastWindow());
+        if (!complete) {
+            // Windows that had not ended long enough were not recorded in the former era.
+            long open = windows.windowAt(nowMillis - COLLECTION_DELAY_MILLIS);
+            lastRecorded = Math.max(lastRecorded, open - 1);
+        }
+    }
+
     /** Marks {@code window} as accepted by the platform. */
     public void confirm(long window) {
         confirmed.add(window);
@@ -75,6 +100,9 @@
         if (nowMillis < notBeforeMillis && notBeforeMillis - nowMillis <= RETRY_DELAY_MILLIS) {
             return new UsageStep.Wait();
         }
+        if (storeIsBehind) {
+            return new UsageStep.Record(recorded);
+        }
         for (Map.Entry<Long, Map<String, Long>> e : recorded.entrySet()) {
             boolean fresh = nowMillis - windows.endMillis(e.getKey()) < MAX_AGE_MILLIS;
             if (fresh && !confirmed.contains(e.getKey())) {
@@ -88,15 +116,19 @@
             if (!counts.isEmpty()) {
                 TreeMap<Long, Map<String, Long>> next = new TreeMap<>(recorded);
                 next.put(w, counts);
-                while (next.size() > MAX_RECORDED_WINDOWS) {
-                    next.pollFirstEntry();
-                }
+                trim(next);
                 return new UsageStep.Record(next);
             }
         }
         return new UsageStep.Wait();
     }
 
+    private static void trim(TreeMap<Long, Map<String, Long>> windows) {
+        while (windows.size() > MAX_RECORDED_WINDOWS) {
+            windows.pollFirstEntry();
+        }
+    }
+
     private boolean isClosed(long window, long nowMillis, long waitMillis) {
         return nowMillis - windows.endMillis(window) >= waitMillis;
     }
--- a/core/src/main/java/org/carobdoor/internal/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/CrashQuarantine.java
@@ -184,9 +184,13 @@
         return table.remove(pattern, revision);
     }
 
-    /** Removes and returns the patterns that a complete read of the store no longer lists. */
-    public List<RequestPattern> removeMissing(Set<RequestPattern> listed, long revision) {
-        List<RequestPattern> removed = table.removeMissing(listed, revision);
+    /**
+     * Removes and returns the patterns that a complete read of the store no longer lists. Those
+     * that were written in a former era of the store are kept and written again.
+     */
+    public List<RequestPattern> removeMissing(
+            Set<RequestPattern> listed, long revision, long nowNanos) {
+        List<RequestPattern> removed = table.removeMissing(listed, revision, nowNanos);
         removed.forEach(suspicions::forget);
         return removed;
     }
--- a/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.carobdoor.internal.Rendezvous;
+import org.carobdoor.internal.store.StoreRevision;
 import org.carobdoor.message.QuarantineEntry;
 import org.carobdoor.message.RequestFeatures;
 import org.carobdoor.message.RequestPattern;
@@ -23,6 +24,9 @@
  * one conditional write of an entry succeeds. An entry ends with an answered trial, when the
  * operator deletes its key, or when no request has matched it for {@link #IDLE_MILLIS}.
  *
+ * <p>A store that comes back from an older copy lacks the entries that were written since, and has
+ * those again that have ended since. The former are written again, the latter deleted again.
+ *
  * <p>Not thread-safe.
  */
 final class QuarantineTable {
@@ -68,6 +72,12 @@
 
     private static final long WRITE_RETRY_SPREAD_NANOS = 2_000_000_000L;
 
+    /**
+     * Range of the delay before an entry is written again into a store that has come back without
+     * it. All nodes know it; the first one's write reaches the others before most of them are due.
+     */
+    private static final long REWRITE_SPREAD_NANOS = 8_000_000_000L;
+
     private static final int MAX_LIFTED = 512;
 
     private static final class Held {
@@ -80,6 +90,7 @@
         boolean trialGranted;
         long trialUntilNanos;
         boolean deletionWanted;
+        boolean rewriteWanted;
 
         Held(QuarantineEntry entry, long heldSinceNanos) {
             this.entry = entry;
@@ -91,8 +102,17 @@
         }
     }
 
+    /**
+     * An entry that has ended.
+     *
+     * @param sinceMillis the time of the entry
+     * @param revision the revision of its deletion
+     */
+    private record Lifted(long sinceMillis, long revision) {}
+
     private final Map<RequestPattern, Held> entries = new HashMap<>();
-    private final Map<RequestPattern, Long> liftedSince = new LeastRecentlyUsedMap<>(MAX_LIFTED);
+    private final Map<RequestPattern, Lifted> liftedEntries =
+            new LeastRecentlyUsedMap<>(MAX_LIFTED);
     private final List<QuarantineStoreStep> evictions = new ArrayList<>();
     private final RandomGenerator random;
 
@@ -128,9 +148,9 @@
      * @return whether the pattern was not quarantined before
      */
     boolean add(QuarantineEntry entry, boolean decidedHere, long nowNanos) {
-        Long lifted = liftedSince.get(entry.pattern());
+        Lifted lifted = liftedEntries.get(entry.pattern());
         boolean covered = entries.keySet().stream().anyMatch(held -> held.covers(entry.pattern()));
-        if (covered || (lifted != null && entry.sinceMillis() <= lifted)) {
+        if (covered || (lifted != null && entry.sinceMillis() <= lifted.sinceMillis)) {
             return false;
         }
         Held h = new Held(entry, nowNanos);
@@ -150,14 +170,32 @@
             Held added = new Held(entry, nowNanos);
             added.revision = revision;
             added.writeDueNanos = nowNanos + randomWriteDelayNanos();
+            added.deletionWanted = hasEndedInFormerEra(entry, revision);
             insert(added);
             return true;
         }
-        h.entry = entry;
+        boolean olderCopy =
+                StoreRevision.isLaterEra(revision, h.revision)
+                        && entry.sinceMillis() == h.entry.sinceMillis()
+                        && entry.trials() < h.entry.trials();
+        if (olderCopy) {
+            h.rewriteWanted = true;
+            h.writeDueNanos = nowNanos + random.nextLong(REWRITE_SPREAD_NANOS);
+        } else {
+            h.entry = entry;
+            h.rewriteWanted = false;
+        }
         h.revision = revision;
         return false;
     }
 
+    private boolean hasEndedInFormerEra(QuarantineEntry entry, long revision) {
+        Lifted lifted = liftedEntries.get(entry.pattern());
+        return lifted != null
+                && entry.sinceMillis() <= lifted.sinceMillis
+                && StoreRevision.isLaterEra(revision, lifted.revision);
+    }
+
     private void insert(Held h) {
         if (entries.size() >= MAX_ENTRIES) {
             evictOldest();
@@ -190,17 +228,24 @@
         if (h == null || revision <= h.revision) {
             return false;
         }
-        liftedSince.put(pattern, h.entry.sinceMillis());
+        liftedEntries.put(pattern, new Lifted(h.entry.sinceMillis(), revision));
         entries.remove(pattern);
         return true;
     }
 
-    /** Removes the entries that a complete read of the store at {@code revision} lacks. */
-    List<RequestPattern> removeMissing(Set<RequestPattern> listed, long revision) {
+    /**
+     * Removes the entries that a complete read of the store at {@code revision} lacks. Those that
+     * were written in a former era become due to be written again.
+     */
+    List<RequestPattern> removeMissing(Set<RequestPattern> listed, long revision, long nowNanos) {
         List<RequestPattern> removed = new ArrayList<>();
         for (RequestPattern p : new HashSet<>(entries.keySet())) {
             Held h = entries.get(p);
-            if (h != null && h.revision > 0 && !listed.contains(p) && remove(p, revision)) {
+            boolean ofFormerEra = h != null && StoreRevision.isLaterEra(revision, h.revision);
+            if (h != null && h.revision > 0 && ofFormerEra && !listed.contains(p)) {
+                h.revision = 0;
+                h.writeDueNanos = nowNanos + random.nextLong(REWRITE_SPREAD_NANOS);
+            } else if (h != null && h.revision > 0 && !listed.contains(p) && remove(p, revision)) {
                 removed.add(p);
             }
         }
@@ -300,6 +345,9 @@
         if (h.deletionWanted || idle) {
             return new QuarantineStoreStep.Delete(e.pattern(), h.revision);
         }
+        if (h.rewriteWanted) {
+            return new QuarantineStoreStep.Update(e, h.revision);
+        }
         if (h.trialWanted && h.isTrialDue(nowMillis)) {
             long delay = FIRST_TRIAL_MILLIS;
             for (int i = 0; i <= e.trials(); i++) {
--- a/core/src/test/java/org/carobdoor/internal/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/org/carobdoor/internal/quarantine/CrashQuarantineTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import org.carobdoor.internal.store.StoreRevision;
 import org.carobdoor.message.CrashId;
 import org.carobdoor.message.CrashReport;
 import org.carobdoor.message.FeatureClearance;
@@ -192,4 +194,38 @@
                 .containsExactly(
                         new QuarantineStoreStep.Delete(new RequestPattern(List.of(DEADLY)), 5));
     }
+
+    @Test
+    void entriesThatTheStoreHasLostAreWrittenAgain() {
+        quarantine(0, DEADLY);
+        QuarantineEntry entry = q.entries().getFirst();
+        q.put(entry.withTrial(millis(900 * SECOND), millis(SECOND)), 5, 4 * SECOND);
+        assertThat(q.removeMissing(Set.of(), StoreRevision.of(1, 3), 5 * SECOND)).isEmpty();
+        assertThat(q.find(request(DEADLY))).isPresent();
+        long due = 14 * SECOND;
+        QuarantineStoreStep step = q.dueSteps(due, millis(due)).getFirst();
+        assertThat(step).isInstanceOf(QuarantineStoreStep.Create.class);
+        q.stepWritten(step, StoreRevision.of(1, 4), due);
+        // A second return, from a copy in which the trial has not been made yet.
+        q.put(entry, StoreRevision.of(2, 3), due);
+        due += 9 * SECOND;
+        assertThat(q.dueSteps(due, millis(due)))
+                .containsExactly(
+                        new QuarantineStoreStep.Update(
+                                entry.withTrial(millis(900 * SECOND), millis(SECOND)),
+                                StoreRevision.of(2, 3)));
+    }
+
+    @Test
+    void entryThatEndedIsDeletedAgain() {
+        quarantine(0, DEADLY);
+        QuarantineEntry entry = q.entries().getFirst();
+        q.put(entry, 5, 4 * SECOND);
+        q.remove(entry.pattern(), 6);
+        q.put(entry, StoreRevision.of(1, 5), 5 * SECOND);
+        long due = 9 * SECOND;
+        assertThat(q.dueSteps(due, millis(due)))
+                .containsExactly(
+                        new QuarantineStoreStep.Delete(entry.pattern(), StoreRevision.of(1, 5)));
+    }
 }
--- a/core/src/test/java/org/carobdoor/internal/quarantine/SimulatedCluster.java
+++ b/core/src/test/java/org/carobdoor/internal/quarantine/SimulatedCluster.java
@@ -403,7 +403,7 @@
 
     private void readStore(CrashQuarantine q) {
         store.values().forEach(s -> q.put(s.entry, s.revision, now));
-        q.removeMissing(new HashSet<>(store.keySet()), revision);
+        q.removeMissing(new HashSet<>(store.keySet()), revision, now);
     }
 
     Set<RequestPattern> stored() {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.carobdoor.internal.directory.EndpointDirectory;
@@ -77,6 +78,7 @@
     private final StoreWatch endpointWatch;
     private final StoreWatch nodeKeysWatch;
     private final long directoryStaleNanos;
+    private final List<LongConsumer> eraListeners = new ArrayList<>();
     private boolean nodeListLoaded;
     private boolean endpointWatchFailing;
     private boolean directoryStale;
@@ -103,6 +105,7 @@
         this.startedAtMillis = startedAtMillis;
         this.log = log;
         store = new StoreClient(loop, settings.store(), log);
+        store.onNewEra(this::eraBegan);
         mirror = new LocalStoreMirror(directory, state, log);
         traffic = network.counters();
         clock = ClusterClock.start(System.nanoTime(), System.currentTimeMillis());
@@ -163,6 +166,33 @@
                         new NodeKeysListener());
     }
 
+    /** Adds a listener of the eras of the store; it writes again what it keeps there. */
+    public void addEraListener(LongConsumer onNewEra) {
+        eraListeners.add(onNewEra);
+    }
+
+    /** Drops what the store may have lost, and reads all of it again. */
+    private void eraBegan(long former, long era) {
+        log.line("store.era_changed")
+                .add("former", former)
+                .add("era", era)
+                .add("configuration", mirror.configurationRevision())
+                .add("directory", directory.revision())
+                .add("quarantined", state.quarantine().size())
+                .add("holder", dutyRunner != null && dutyRunner.isHolder())
+                .write();
+        if (dutyRunner != null) {
+            dutyRunner.eraBegan(era);
+        }
+        peers.eraBegan();
+        for (LongConsumer listener : eraListeners) {
+            GuardedTask.run("era listener", () -> listener.accept(era), log);
+        }
+        configurationWatch.start();
+        endpointWatch.start();
+        nodeKeysWatch.start();
+    }
+
     /** Starts the store watches, the exchange with the other nodes, and the duties. */
     public void start() {
         configurationWatch.start();
@@ -214,6 +244,8 @@
                 .append("\n# TYPE carobdoor_gateway_configuration_revision gauge\n")
                 .append("carobdoor_gateway_configuration_revision ")
                 .append(mirror.configurationRevision())
+                .append("\n# TYPE carobdoor_gateway_store_era gauge\ncarobdoor_gateway_store_era ")
+                .append(store.era())
                 .append('\n');
     }
 
@@ -311,12 +343,16 @@
                 state.quarantine().digest(),
                 0,
                 true,
-                false);
+                false,
+                store.era(),
+                List.of(),
+                List.of());
     }
 
     @Override
     public void statusReceived(NodeStatus message, boolean usable) {
         long now = System.nanoTime();
+        store.observeEra(message.storeEra());
         String sender = message.run();
         clock.report(sender, message.timeMillis(), now);
         directory.recordRevisionOfPeer(message.directoryRevision(), now);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/DutyRunner.java
@@ -62,8 +62,16 @@
     private long unreportedSavedNanos;
     private boolean unreportedUsageLoaded;
     private boolean reportedUsageLoaded;
+
+    /** The fencing token with which this node last wrote the record of reported usage. */
+    private long recordedByFence;
+
+    /** Whether this node knows all usage that was recorded in the former era of the store. */
+    private boolean knowsFormerUsage;
+
     private boolean usageStepPending;
     private boolean wasHolder;
+    private boolean eraKnown;
 
     DutyRunner(
             EventLoop loop,
@@ -138,6 +146,14 @@
         return dutyLease.fencingToken();
     }
 
+    /** Drops the duties, since the store is in a new era, until they are taken in that era. */
+    void eraBegan(long era) {
+        long now = System.nanoTime();
+        knowsFormerUsage = isHolder() && recordedByFence == dutyLease.fencingToken();
+        reportedUsageLoaded = false;
+        dutyLease.eraBegan(era, bounds.dutyLease().toMillis(), now);
+    }
+
     /** Processes a written key of the duties. */
     void keyWritten(StoreItem item) {
         if (item.key().equals(NodeStoreKeys.DUTY_HOLDER)) {
@@ -156,8 +172,7 @@
     private void loadReportedUsage(StoreItem item) {
         switch (UsageRecord.decode(item.value())) {
             case Result.Ok<RecordedUsage>(RecordedUsage record) -> {
-                reportedUsageLoaded = true;
-                reports.loadRecorded(record);
+                loadReportedUsage(record);
             }
             case Result.Err<RecordedUsage>(Failure f) -> {
                 // Windows that may have been reported must not be reported with other counts.
@@ -167,6 +182,15 @@
         }
     }
 
+    private void loadReportedUsage(RecordedUsage record) {
+        reportedUsageLoaded = true;
+        if (record.era() < store.era()) {
+            reports.mergeFormer(record, knowsFormerUsage, clusterMillis.getAsLong());
+        } else {
+            reports.loadRecorded(record);
+        }
+    }
+
     private void logUnreadable(Failure f) {
         log.line("usage.record_unreadable").add("failure", '"' + f.toString() + '"').write();
     }
@@ -176,15 +200,23 @@
         if (key.equals(NodeStoreKeys.DUTY_HOLDER)) {
             dutyLease.keyMissing(revision, System.nanoTime());
         } else if (key.equals(NodeStoreKeys.REPORTED_USAGE)) {
-            reportedUsageLoaded = true;
             if (revision > usageRevision) {
                 // The next write must expect that the key does not exist.
                 usageRevision = 0;
             }
+            if (store.era() == 0) {
+                reportedUsageLoaded = true;
+            } else if (!reportedUsageLoaded) {
+                loadReportedUsage(RecordedUsage.of(Map.of()));
+            }
         }
     }
 
     private void tick() {
+        if (!eraKnown && store.era() > 0) {
+            eraKnown = true;
+            dutyLease.eraKnown(store.era());
+        }
         execute(dutyLease.next(System.nanoTime(), System.currentTimeMillis()));
         boolean holder = isHolder();
         if (holder != wasHolder) {
@@ -264,9 +296,9 @@
             case DutyStep.TakeLease t ->
                     store.acquireLease(bounds.dutyLease().toMillis(), this::handleLeaseReply);
             case DutyStep.Renew(long lease) -> store.renewLease(lease, this::handleRenewalReply);
-            case DutyStep.WriteHolder(long lease, String token) ->
+            case DutyStep.WriteHolder(long lease, String token, long expected) ->
                     store.write(
-                            Map.of(NodeStoreKeys.DUTY_HOLDER, 0L),
+                            Map.of(NodeStoreKeys.DUTY_HOLDER, expected),
                             NodeStoreKeys.DUTY_HOLDER,
                             Bytes.utf8(token),
                             lease,
@@ -317,14 +349,15 @@
         store.write(
                 conditions,
                 NodeStoreKeys.REPORTED_USAGE,
-                UsageRecord.encode(records),
+                UsageRecord.encode(records, store.era()),
                 0,
                 answer -> {
                     usageStepPending = false;
                     if (answer instanceof StoreAnswer.Written(long revision)
                             && revision > usageRevision) {
                         usageRevision = revision;
-                        reports.loadRecorded(RecordedUsage.of(records));
+                        recordedByFence = dutyLease.fencingToken();
+                        reports.loadRecorded(RecordedUsage.of(records, store.era()));
                     } else {
                         reports.retryLater(clusterMillis.getAsLong());
                     }
@@ -333,22 +366,24 @@
 
     private void reportUsage(long window, Map<String, Long> counts) {
         usageStepPending = true;
+        long fence = dutyLease.fencingToken();
         send(
-                CloudCalls.reportUsage(node, dutyLease.fencingToken(), window, counts),
+                CloudCalls.reportUsage(node, fence, window, counts),
                 outcome -> {
                     usageStepPending = false;
                     int status = outcome.status();
                     log.line("usage.reported")
                             .add("window", window)
                             .add("counts", new TreeMap<>(counts))
-                            .add("fence", dutyLease.fencingToken())
+                            .add("fence", fence)
                             .add("status", status)
                             .write();
                     if (status == CloudCalls.STATUS_OK) {
                         reports.confirm(window);
                     } else {
                         reports.retryLater(clusterMillis.getAsLong());
-                        if (status == CloudCalls.STATUS_CONFLICT) {
+                        if (status == CloudCalls.STATUS_CONFLICT
+                                && fence == dutyLease.fencingToken()) {
                             dutyLease.fencedOut(System.nanoTime());
                         }
                     }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/LocalStoreMirror.java
@@ -17,6 +17,7 @@
 import org.carobdoor.internal.directory.NewsSource;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
+import org.carobdoor.internal.store.StoreRevision;
 import org.carobdoor.message.ReplicaItem;
 import org.carobdoor.message.StoreMirror;
 import org.carobdoor.message.StoreMirrorRequest;
@@ -30,9 +31,10 @@
 /**
  * This node's copy of the configuration and the endpoints, received from the store or from peers.
  *
- * <p>A configuration is applied only if its revision is higher than the current one, so a node
- * never reverts to an older configuration. Data of peers and of the store are treated alike, since
- * both carry the store's revisions. Must be used on the event loop.
+ * <p>A configuration is applied only if its revision is higher than the current one, and, after the
+ * store has come back from an older copy, only if its version is not lower, so a node never reverts
+ * to an older configuration. Data of peers and of the store are treated alike, since both carry the
+ * store's revisions, combined with its era. Must be used on the event loop.
  */
 final class LocalStoreMirror {
     private final EndpointDirectory directory;
@@ -40,6 +42,10 @@
     private final DecisionLog log;
     private final Map<String, StoreItem> endpointItems = new HashMap<>();
     private @Nullable StoreItem configurationItem;
+    private long configurationVersion;
+
+    /** The highest revision of a configuration that was received, applied or not. */
+    private long knownConfigurationRevision;
 
     /** When the endpoints were last known to be current, in {@link System#nanoTime}. */
     private long currentAtNanos = System.nanoTime();
@@ -55,6 +61,16 @@
         return configurationItem == null ? 0 : configurationItem.revision();
     }
 
+    /** Returns the highest revision of a configuration that this node has received. */
+    long knownConfigurationRevision() {
+        return knownConfigurationRevision;
+    }
+
+    /** Returns whether a peer with a configuration of this revision has a newer one. */
+    boolean lacksConfiguration(long peerRevision) {
+        return peerRevision > knownConfigurationRevision;
+    }
+
     /** Returns the store's revision at which the endpoints are current. */
     long directoryRevision() {
         return directory.revision();
@@ -62,12 +78,23 @@
 
     /** Applies a configuration, unless the current one is at least as new. */
     void applyConfiguration(StoreItem item, String source) {
-        if (item.revision() <= configurationRevision()) {
+        if (item.revision() <= knownConfigurationRevision) {
             return;
         }
         switch (ConfigurationDecoder.decode(item.value())) {
             case Result.Ok<Configuration>(Configuration c) -> {
+                knownConfigurationRevision = item.revision();
+                if (isOfOlderCopy(c, item.revision())) {
+                    log.line("configuration.kept")
+                            .add("version", configurationVersion)
+                            .add("received_version", c.version())
+                            .add("revision", item.revision())
+                            .add("source", source)
+                            .write();
+                    return;
+                }
                 configurationItem = item;
+                configurationVersion = c.version();
                 state.configure(c, System.nanoTime());
                 setConfiguredIfComplete();
                 log.line("configuration.applied")
@@ -84,6 +111,13 @@
         }
     }
 
+    /** Returns whether a store that has come back lacks the configuration in force. */
+    private boolean isOfOlderCopy(Configuration received, long revision) {
+        return configurationItem != null
+                && StoreRevision.isLaterEra(revision, configurationItem.revision())
+                && received.version() < configurationVersion;
+    }
+
     /** Replaces all endpoints by a complete list of the store, current at {@code revision}. */
     void replaceEndpoints(Collection<StoreItem> items, long revision) {
         replaceEndpoints(items, revision, NewsSource.list(millisSinceCurrent()));
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -57,6 +57,9 @@
 
     private static final long RETRY_DELAY_MILLIS = 500;
 
+    /** Range of the delay before all nodes register again in a store that has lost their leases. */
+    private static final long REGISTER_SPREAD_MILLIS = 500;
+
     /**
      * Time in which three statuses of each node of a zone are missed: the zone is partitioned, or
      * all of its nodes have stopped.
@@ -94,6 +97,9 @@
     private long newPeerAtNanos = System.nanoTime();
     private boolean stopped;
 
+    /** Counts the registrations, each of which replaces the renewals of the previous one. */
+    private long registration;
+
     PeerRegistry(
             EventLoop loop,
             StoreClient store,
@@ -173,6 +179,13 @@
                 loop, "mirror", this::askForChanges, MirrorPeers.ASK_INTERVAL_MILLIS, log);
     }
 
+    /** Registers this node again, since the store is in a new era and has lost its lease. */
+    void eraBegan() {
+        lease = 0;
+        registration++;
+        schedule(this::register, RandomGenerator.getDefault().nextLong(REGISTER_SPREAD_MILLIS));
+    }
+
     private void askForChanges() {
         boolean stale = !stopped && directoryStale.getAsBoolean();
         List<String> known = addresses.keySet().stream().map(NodeId::value).toList();
@@ -184,7 +197,8 @@
     private void requestMirror(NodeId peer) {
         network.send(
                 peer,
-                new StoreMirrorRequest(mirror.configurationRevision(), mirror.directoryRevision()));
+                new StoreMirrorRequest(
+                        mirror.knownConfigurationRevision(), mirror.directoryRevision()));
     }
 
     /**
@@ -277,7 +291,7 @@
                 now);
         listener.statusReceived(message, received.usable());
         boolean behind =
-                message.configurationRevision() > mirror.configurationRevision()
+                mirror.lacksConfiguration(message.configurationRevision())
                         || (directoryStale.getAsBoolean()
                                 && message.directoryRevision() > mirror.directoryRevision());
         if (!behind) {
@@ -324,9 +338,13 @@
         if (stopped) {
             return;
         }
+        long number = registration;
         store.acquireLease(
                 LEASE_MILLIS,
                 answer -> {
+                    if (number != registration) {
+                        return;
+                    }
                     if (answer instanceof StoreAnswer.LeaseGranted(long newLease, long ttl)) {
                         lease = newLease;
                         writeEntry();
@@ -337,12 +355,16 @@
     }
 
     private void writeEntry() {
+        long number = registration;
         store.write(
                 Map.of(),
                 NodeStoreKeys.NODES_PREFIX + run,
                 self.encode(),
                 lease,
                 answer -> {
+                    if (number != registration) {
+                        return;
+                    }
                     if (answer instanceof StoreAnswer.Written) {
                         schedule(this::renew, RENEW_INTERVAL_MILLIS);
                     } else {
@@ -362,9 +384,13 @@
             register();
             return;
         }
+        long number = registration;
         store.renewLease(
                 lease,
                 answer -> {
+                    if (number != registration) {
+                        return;
+                    }
                     switch (answer) {
                         case StoreAnswer.LeaseGranted l -> {
                             census.recordRenewed();
@@ -377,6 +403,14 @@
     }
 
     private void schedule(Runnable task, long millis) {
-        loop.schedule(task, millis, TimeUnit.MILLISECONDS);
+        long number = registration;
+        loop.schedule(
+                () -> {
+                    if (number == registration) {
+                        task.run();
+                    }
+                },
+                millis,
+                TimeUnit.MILLISECONDS);
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PlatformClient.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.node.gateway.net.Connector;
@@ -28,6 +29,7 @@
 import org.carobdoor.node.gateway.net.ResponseBufferLimit;
 import org.carobdoor.platform.HttpCall;
 import org.carobdoor.platform.HttpReply;
+import org.carobdoor.platform.StoreEraHeader;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -182,7 +184,8 @@
                 complete(new Outcome.NoReply("unexpected change of protocol"));
             } else if (r.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
                 byte[] body = ByteBufUtil.getBytes(r.content());
-                complete(new Outcome.Replied(new HttpReply(r.status().code(), body)));
+                OptionalLong era = StoreEraHeader.parse(r.headers().get(StoreEraHeader.NAME));
+                complete(new Outcome.Replied(new HttpReply(r.status().code(), body, era)));
             }
         }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -46,6 +46,7 @@
     private boolean storeUnavailable;
     private boolean replyPending;
     private long callNumber;
+    private long readNumber;
     private long revision;
 
     /**
@@ -72,16 +73,22 @@
         this.log = log;
     }
 
-    /** Reads the keys, then watches them. */
+    /** Reads the keys, then watches them. Replaces reads and watch calls that are under way. */
     void start() {
-        readPages(new ArrayList<>(), "", Long.MAX_VALUE);
+        callNumber++;
+        replyPending = false;
+        readPages(++readNumber, new ArrayList<>(), "", Long.MAX_VALUE);
     }
 
-    private void readPages(List<StoreItem> previousItems, String afterKey, long firstRevision) {
+    private void readPages(
+            long number, List<StoreItem> previousItems, String afterKey, long firstRevision) {
         store.range(
                 prefix,
                 afterKey,
                 answer -> {
+                    if (number != readNumber) {
+                        return;
+                    }
                     switch (answer) {
                         case StoreAnswer.Page(
                                         List<StoreItem> items,
@@ -93,7 +100,7 @@
                             // revision.
                             long first = Math.min(firstRevision, pageRevision);
                             if (truncated && !items.isEmpty()) {
-                                readPages(all, items.getLast().key(), first);
+                                readPages(number, all, items.getLast().key(), first);
                                 return;
                             }
                             handleSuccess();
@@ -101,6 +108,7 @@
                             notifyListener(() -> listener.loaded(all, first));
                             awaitChanges();
                         }
+                        case StoreAnswer.HistoryGone gone -> start();
                         default -> retry(answer, this::start);
                     }
                 });
@@ -137,10 +145,7 @@
                             if (changes.isEmpty()) {
                                 awaitChanges();
                             } else {
-                                loop.schedule(
-                                        this::awaitChanges,
-                                        batchDelayMillis.getAsLong(),
-                                        TimeUnit.MILLISECONDS);
+                                schedule(this::awaitChanges, batchDelayMillis.getAsLong());
                             }
                         }
                         case StoreAnswer.HistoryGone() -> {
@@ -178,7 +183,20 @@
         }
         schedule.restart(System.nanoTime());
         listener.callFailed(answer);
-        loop.schedule(retryTask, retryDelayMillis, TimeUnit.MILLISECONDS);
+        schedule(retryTask, retryDelayMillis);
         retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
     }
+
+    /** Schedules a task that a later {@link #start} replaces. */
+    private void schedule(Runnable task, long delayMillis) {
+        long number = readNumber;
+        loop.schedule(
+                () -> {
+                    if (number == readNumber) {
+                        task.run();
+                    }
+                },
+                delayMillis,
+                TimeUnit.MILLISECONDS);
+    }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/UsageRecord.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/UsageRecord.java
@@ -33,6 +33,9 @@
     private static final String VERSION_FIELD = "version";
     private static final String WINDOWS_FIELD = "windows";
 
+    /** The era of the store in which the record was written; absent in era 0. */
+    private static final String ERA_FIELD = "era";
+
     /**
      * Escapes make a lone surrogate in a name survive, which UTF-8 cannot encode. Names are values
      * in the document, since such a name is not allowed as that of a field.
@@ -46,9 +49,17 @@
 
     private UsageRecord() {}
 
-    /** Encodes reported counts, by window and client account. */
+    /** Encodes reported counts, by window and client account, for a store that states no era. */
     static Bytes encode(Map<Long, Map<String, Long>> windows) {
+        return encode(windows, 0);
+    }
+
+    /** Encodes reported counts, by window and client account, for a store in {@code era}. */
+    static Bytes encode(Map<Long, Map<String, Long>> windows, long era) {
         ObjectNode document = document();
+        if (era > 0) {
+            document.put(ERA_FIELD, era);
+        }
         ObjectNode byWindow = document.putObject(WINDOWS_FIELD);
         new TreeMap<>(windows)
                 .forEach((window, counts) -> put(byWindow, Long.toString(window), counts));
@@ -77,11 +88,12 @@
             return Result.ok(UsageText.decode(value.toUtf8()));
         }
         try {
+            JsonNode document = JSON.readTree(json.get());
             Map<Long, Map<String, Long>> windows = new HashMap<>();
-            for (Map.Entry<String, JsonNode> w : windows(json.get()).properties()) {
+            for (Map.Entry<String, JsonNode> w : windows(document).properties()) {
                 windows.put(Long.parseLong(w.getKey()), counts(w.getValue()));
             }
-            return Result.ok(RecordedUsage.of(windows));
+            return Result.ok(RecordedUsage.of(windows, document.path(ERA_FIELD).asLong(0)));
         } catch (JsonProcessingException | IllegalArgumentException e) {
             return unreadable(e);
         }
@@ -96,7 +108,7 @@
             return Result.ok(usage);
         }
         try {
-            for (Map.Entry<String, JsonNode> w : windows(json.get()).properties()) {
+            for (Map.Entry<String, JsonNode> w : windows(JSON.readTree(json.get())).properties()) {
                 for (Map.Entry<String, JsonNode> run : w.getValue().properties()) {
                     long window = Long.parseLong(w.getKey());
                     usage.report(run.getKey(), window, counts(run.getValue()));
@@ -137,8 +149,7 @@
         }
     }
 
-    private static JsonNode windows(String json) throws JsonProcessingException {
-        JsonNode document = JSON.readTree(json);
+    private static JsonNode windows(JsonNode document) {
         if (document.path(VERSION_FIELD).intValue() != VERSION) {
             throw new IllegalArgumentException(
                     "version " + document.path(VERSION_FIELD) + " is not " + VERSION);
--- a/node/src/main/java/org/carobdoor/node/gateway/quarantine/RequestQuarantine.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/quarantine/RequestQuarantine.java
@@ -172,7 +172,14 @@
 
     /** Removes the entries that a complete read of the store at {@code revision} lacks. */
     public void removeMissing(Set<RequestPattern> listed, long revision) {
-        quarantine.removeMissing(listed, revision).forEach(p -> logLifted(p, revision));
+        quarantine
+                .removeMissing(listed, revision, System.nanoTime())
+                .forEach(p -> logLifted(p, revision));
+    }
+
+    /** Returns the number of quarantined patterns. */
+    public int size() {
+        return quarantine.size();
     }
 
     /** Returns the writes to the store that are due. */
--- a/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
+++ b/standins/src/main/java/org/carobdoor/standins/gateway/StoreStandIn.java
@@ -14,6 +14,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
@@ -22,7 +24,8 @@
 
 /**
  * The platform's key-value store for tests, with revisions, conditional writes, leases and watches.
- * It can simulate an outage, refused reads and the compaction of its history.
+ * It can simulate an outage, refused reads, the compaction of its history, and a return from an
+ * older copy.
  */
 public final class StoreStandIn implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -36,6 +39,9 @@
         }
     }
 
+    /** The state at an earlier time. */
+    private record Copy(TreeMap<String, Item> items, long revision) {}
+
     private record Change(String key, @Nullable Item item, long revision) {}
 
     private final ReentrantLock lock = new ReentrantLock();
@@ -49,6 +55,9 @@
     private long lastLeaseId = 100;
     private boolean down;
     private String refusedReadPrefix = "";
+    private long era;
+    private @Nullable Copy copy;
+    private TreeMap<String, Item> lost = new TreeMap<>();
 
     private StoreStandIn() {
         http = LocalHttpServer.start(this::serve);
@@ -163,6 +172,78 @@
         }
     }
 
+    /** States this era in all responses from now on; 0 states none. */
+    public void setEra(long value) {
+        lock.lock();
+        try {
+            era = value;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Takes the copy that {@link #returnFromCopy} restores. */
+    public void takeCopy() {
+        lock.lock();
+        try {
+            copy = new Copy(new TreeMap<>(items), revision);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Restores the copy in a new era. All leases are gone, with their keys, and so is what the
+     * system has written since. What the operator and the endpoints have written since is written
+     * again after {@link #rewriteForeignKeys}.
+     */
+    public void returnFromCopy() {
+        lock.lock();
+        try {
+            Copy restored = Objects.requireNonNull(copy, "no copy was taken");
+            lost = new TreeMap<>(items);
+            items.clear();
+            items.putAll(restored.items);
+            items.values().removeIf(item -> item.lease != 0);
+            leases.clear();
+            revision = restored.revision;
+            history.removeIf(c -> c.revision > revision);
+            era++;
+            changed.signalAll();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Writes the keys of the operator and of the endpoints again that the last return has lost. */
+    public void rewriteForeignKeys() {
+        lock.lock();
+        try {
+            lost.forEach(
+                    (key, item) -> {
+                        boolean foreign = key.startsWith("op/") || key.startsWith("servers/");
+                        Item current = items.get(key);
+                        if (foreign && (current == null || !current.value.equals(item.value))) {
+                            write(key, new Item(item.value, ++revision, 0));
+                        }
+                    });
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the value of {@code key}; empty if it does not exist. */
+    public Optional<String> value(String key) {
+        lock.lock();
+        try {
+            return Optional.ofNullable(items.get(key))
+                    .map(i -> Base64.getDecoder().decode(i.value))
+                    .map(bytes -> new String(bytes, StandardCharsets.UTF_8));
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void write(String key, @Nullable Item item) {
         if (item == null) {
             items.remove(key);
@@ -182,6 +263,9 @@
             String response =
                     down ? "" : handle(path, LocalHttpServer.queryParameters(exchange), body);
             int separator = response.indexOf(' ');
+            if (era > 0) {
+                exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
+            }
             if (down || separator < 0) {
                 LocalHttpServer.sendJson(exchange, 503, "{}");
             } else {
@@ -246,7 +330,7 @@
         long after = Long.parseLong(query.get("after"));
         long remainingNanos = TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.get("waitMs")));
         while (!down) {
-            if (after < compactedRevision) {
+            if (after < compactedRevision || after > revision) {
                 return "410 {}";
             }
             ArrayNode events = JSON.createArrayNode();
