--- a/node/src/test/java/org/carobdoor/node/gateway/StoreFromCopyTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/StoreFromCopyTest.java
@@ -18,6 +18,7 @@
     private static final String NEW_ROUTE =
             ",{\"name\":\"new\",\"host\":\"127.0.0.1\",\"prefix\":\"/new/\","
                     + "\"kind\":\"safe\",\"service\":\"desk\",\"maxAttempts\":1}";
+    private static final long REGISTER_LIMIT_MILLIS = 2_000;
     private static final String QUARANTINE_KEY = "carobdoor/quarantine/part-91bd3f06";
 
     private static long era(TestGateway node) {
@@ -75,7 +76,9 @@
                                 nodes.forEach(StoreFromCopyTest::assertServes);
                                 return era(first) == number && era(second) == number;
                             });
-                    TestGateway.await(() -> store.keys("carobdoor/nodes/").size() == 2);
+                    // Long before the next renewals of the nodes' leases, which are lost.
+                    TimeUnit.MILLISECONDS.sleep(REGISTER_LIMIT_MILLIS);
+                    assertThat(store.keys("carobdoor/nodes/")).hasSize(2);
                     store.rewriteForeignKeys();
                     TestGateway.await(
                             () -> {
