--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -1,11 +1,10 @@
 package org.carobdoor.node.gateway.control;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
@@ -139,24 +138,7 @@
         state.setQuotaLoans(quotaLender);
         quarantineSync =
                 new QuarantineSync(loop, store, network, state.quarantine(), peers::sendToAll, log);
-        dutyRunner =
-                settings.cloud()
-                        .map(
-                                address ->
-                                        new DutyRunner(
-                                                loop,
-                                                store,
-                                                address,
-                                                DutyLease.create(run, random),
-                                                usage,
-                                                state,
-                                                settings.bounds(),
-                                                settings.name(),
-                                                run,
-                                                () -> clock.millis(System.nanoTime()),
-                                                peers::allPeersReporting,
-                                                log))
-                        .orElse(null);
+        dutyRunner = settings.cloud().map(a -> newDutyRunner(a, random)).orElse(null);
         this.random = random;
         storeNews = new StoreNewsExchange(loop, network, peers::storeReaders, log);
         rolloutRunner =
@@ -195,7 +177,13 @@
                         NodeStoreKeys.PREFIX,
                         schedule(NODE_KEYS_STALE_LIMIT),
                         this::batchDelayMillis,
-                        new NodeKeysListener());
+                        new NodeKeysListener(
+                                peers,
+                                quarantineSync,
+                                rolloutRunner,
+                                dutyRunner,
+                                this::nodeListLoaded,
+                                log));
     }
 
     /** Adds a listener of the eras of the store; it writes again what it keeps there. */
@@ -220,6 +208,27 @@
         GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
     }
 
+    private DutyRunner newDutyRunner(InetSocketAddress address, RandomGenerator random) {
+        return new DutyRunner(
+                loop,
+                store,
+                address,
+                DutyLease.create(run, random),
+                usage,
+                state,
+                settings.bounds(),
+                settings.name(),
+                run,
+                () -> clock.millis(System.nanoTime()),
+                peers::allPeersReporting,
+                log);
+    }
+
+    private void nodeListLoaded() {
+        nodeListLoaded = true;
+        state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), System.nanoTime());
+    }
+
     private void readStore() {
         configurationWatch.start();
         endpointWatch.start();
@@ -487,69 +496,4 @@
             directory.recordStoreUnavailable(System.nanoTime());
         }
     }
-
-    private final class NodeKeysListener implements StoreWatch.Listener {
-        @Override
-        public void loaded(List<StoreItem> items, long revision) {
-            Set<String> runs = new HashSet<>();
-            Set<String> keys = new HashSet<>();
-            for (StoreItem item : items) {
-                keys.add(item.key());
-                if (item.key().startsWith(NodeStoreKeys.NODES_PREFIX)) {
-                    runs.add(item.key().substring(NodeStoreKeys.NODES_PREFIX.length()));
-                }
-                keyWritten(item);
-            }
-            quarantineSync.loaded(items, revision);
-            peers.replaceListed(runs);
-            nodeListLoaded = true;
-            state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), System.nanoTime());
-            for (String key : List.of(NodeStoreKeys.DUTY_HOLDER, NodeStoreKeys.REPORTED_USAGE)) {
-                if (!keys.contains(key)) {
-                    keyMissing(key, revision);
-                }
-            }
-        }
-
-        @Override
-        public void changed(List<StoreChange> changes, long revision) {
-            for (StoreChange change : changes) {
-                switch (change) {
-                    case StoreChange.Written(StoreItem item) -> keyWritten(item);
-                    case StoreChange.Deleted(String key, long at) -> keyMissing(key, at);
-                }
-            }
-        }
-
-        /** Applies a key so that a failure does not affect the others. */
-        private void keyWritten(StoreItem item) {
-            GuardedTask.run("key " + item.key(), () -> applyKey(item), log);
-        }
-
-        private void applyKey(StoreItem item) {
-            if (item.key().startsWith(NodeStoreKeys.NODES_PREFIX)) {
-                String peerRun = item.key().substring(NodeStoreKeys.NODES_PREFIX.length());
-                PeerAddress.decode(peerRun, item.value())
-                        .ifPresent(p -> peers.peerListed(p, item.revision()));
-            } else if (item.key().startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
-                quarantineSync.keyWritten(item);
-            } else if (item.key().startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
-                rolloutRunner.stateWritten(item);
-            } else if (dutyRunner != null) {
-                dutyRunner.keyWritten(item);
-            }
-        }
-
-        private void keyMissing(String key, long revision) {
-            if (key.startsWith(NodeStoreKeys.NODES_PREFIX)) {
-                peers.peerUnlisted(key.substring(NodeStoreKeys.NODES_PREFIX.length()));
-            } else if (key.startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
-                quarantineSync.keyDeleted(key, revision);
-            } else if (key.startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
-                rolloutRunner.stateMissing(key, revision);
-            } else if (dutyRunner != null) {
-                dutyRunner.keyMissing(key, revision);
-            }
-        }
-    }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/RolloutRunner.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/RolloutRunner.java
@@ -127,6 +127,15 @@
         }
     }
 
+    /** Processes a complete list of keys, which may lack states that this node knows. */
+    void statesLoaded(Set<String> keys, long revision) {
+        for (ServiceRollout r : rollouts.values()) {
+            if (!keys.contains(RolloutRecord.key(r.service()))) {
+                r.stateMissing(revision);
+            }
+        }
+    }
+
     private ServiceRollout rollout(String service) {
         return rollouts.computeIfAbsent(service, ServiceRollout::new);
     }
