--- a/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/EngineFleetPolicy.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.carobdoor.AvailabilityZone;
+import org.carobdoor.internal.deployment.EngineTraits;
 import org.carobdoor.internal.deployment.FleetBounds;
 
 /**
@@ -52,6 +54,9 @@
     /** Time in which an engine that has booted is listed as present. */
     private static final long LISTING_NANOS = 1_500_000_000L;
 
+    /** Engines with up to this many slots have none left for the load of missing engines. */
+    private static final int MAX_SLOTS_WITHOUT_RESERVE = 24;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double MILLIS_PER_SECOND = 1e3;
 
@@ -102,6 +107,17 @@
 
     private EngineFleetPolicy() {}
 
+    /**
+     * Returns whether all nodes follow the plan of the duty holder, so that a new one goes on from
+     * it. Engines that run many requests at once take the load of missing ones for the seconds in
+     * which a new holder measures it; engines with few slots refuse.
+     *
+     * @param engine the engines of the service, if it has any
+     */
+    public static boolean isFollowedByAll(Optional<EngineTraits> engine) {
+        return engine.isPresent() && engine.get().slots() <= MAX_SLOTS_WITHOUT_RESERVE;
+    }
+
     /**
      * Returns how many engines are needed for {@code workMillisPerSecond} of engine time per
      * second.
--- a/core/src/main/java/org/carobdoor/internal/fleet/FleetDemand.java
+++ b/core/src/main/java/org/carobdoor/internal/fleet/FleetDemand.java
@@ -70,7 +70,7 @@
     }
 
     /** Returns an estimator whose peak falls at a constant rate, whatever its excess. */
-    static FleetDemand withConstantDecline() {
+    public static FleetDemand withConstantDecline() {
         return new FleetDemand(0, 0);
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/FleetAutoscaler.java
@@ -96,11 +96,20 @@
         Configuration configuration = state.configuration().get();
         for (Service s : configuration.services()) {
             if (s.fleet().isPresent()) {
-                FleetDemand demand = demands.computeIfAbsent(s.name(), n -> FleetDemand.create());
+                boolean followed = EngineFleetPolicy.isFollowedByAll(s.engine());
+                FleetDemand demand =
+                        demands.computeIfAbsent(
+                                s.name(),
+                                n ->
+                                        followed
+                                                ? FleetDemand.create()
+                                                : FleetDemand.withConstantDecline());
                 demand.measured(workSinceTick.getOrDefault(s.name(), 0.0) / seconds);
                 // The endpoints of both versions would look like too many.
                 boolean orders = holder && !state.versions().selector().isRollingOut(s.name());
-                plan(s, s.fleet().get(), demand, orders, now);
+                if (orders || followed) {
+                    plan(s, s.fleet().get(), demand, orders, now);
+                }
             }
         }
         workSinceTick.clear();
@@ -116,7 +125,7 @@
         metrics.update(service.name(), zones, needed, demand.workMillisPerSecond());
         EngineFleetPolicy policy =
                 policies.computeIfAbsent(service.name(), s -> EngineFleetPolicy.create());
-        if (holder && !wasHolder) {
+        if (holder && !wasHolder && EngineFleetPolicy.isFollowedByAll(service.engine())) {
             policy.takeOver(bounds, now);
         }
         if (holder && ++planCount % PLANS_PER_LOG_LINE == 0) {
