--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/LearnedCapacities.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/LearnedCapacities.java
@@ -60,6 +60,16 @@
         return setting.orElse(StatusInterval.isRelayed(nodes));
     }
 
+    /**
+     * Returns whether requests to a service are placed by learned capacity. For engines only the
+     * setting decides: two random choices spread prompts over engines that have not cached them.
+     *
+     * @param engine whether the endpoints are model engines
+     */
+    public boolean isUsedFor(boolean engine) {
+        return engine ? setting.orElse(false) : isEnabled();
+    }
+
     void setNodes(int count) {
         nodes = Math.max(1, count);
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -138,21 +138,22 @@
     private Placement selectEndpoint(List<EndpointLoad> candidates, long now) {
         double maxQueueMillis = call.remainingMillis(now) * MAX_QUEUE_TIME_FRACTION;
         Optional<Prompt> prompt = call.request().prompt();
-        if (state.endpoints().capacities().isEnabled()) {
+        boolean engine = service.engine().isPresent() && prompt.isPresent();
+        if (state.endpoints().capacities().isUsedFor(engine)) {
             return LearnedSelection.choose(call, candidates, maxQueueMillis, now);
         }
-        if (service.engine().isEmpty() || prompt.isEmpty()) {
+        if (!engine) {
             return PlainPlacement.choose(candidates, state.zone(), maxQueueMillis, now);
         }
-        EngineTraits engine = service.engine().get();
-        if (prompt.get().totalTokens() > engine.kvCacheTokens()) {
+        EngineTraits traits = service.engine().get();
+        if (prompt.get().totalTokens() > traits.kvCacheTokens()) {
             return new Placement.Saturated(0);
         }
         return EnginePlacement.choose(
                 candidates,
                 prompt.get(),
-                engine.slots(),
-                engine.kvCacheTokens(),
+                traits.slots(),
+                traits.kvCacheTokens(),
                 state.zone(),
                 maxQueueMillis,
                 now);
