Measure the event loop's lateness, what waits for peers, and the age of the news

Change: loop.late with the time between two polls and the part of it in tasks; a histogram of these times; read_late_ms (the longest time for which a request can have waited unread) and news_ms (the age of the endpoints' news at its end) on request.ended; the bytes that wait for peers on peers.traffic. No decision changes.

--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.carobdoor.node.gateway.front.CallerServer;
 import org.carobdoor.node.gateway.front.StatusServer;
 import org.carobdoor.node.gateway.log.DecisionLog;
+import org.carobdoor.node.gateway.net.LoopMonitor;
 import org.carobdoor.node.gateway.settings.GatewaySettings;
 import org.carobdoor.wire.ClusterKeys;
 import org.carobdoor.wire.TcpPeerNetwork;
@@ -65,6 +66,7 @@
     private final EventLoop loop;
     private final GatewaySettings settings;
     private final DecisionLog log = DecisionLog.create();
+    private final LoopMonitor monitor = LoopMonitor.create(log);
     private final ForwardingState state;
     private final Forwarder forwarder;
     private final ControlLoop controlLoop;
@@ -76,7 +78,7 @@
 
     private Gateway(GatewaySettings settings) {
         this.settings = settings;
-        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        group = new MultiThreadIoEventLoopGroup(1, monitor.factory(NioIoHandler.newFactory()));
         loop = group.next();
         RandomGenerator random = RandomGenerator.getDefault();
         long startedAt = System.currentTimeMillis();
@@ -116,7 +118,8 @@
         controlLoop =
                 new ControlLoop(
                         loop, settings, state, directory, network, run, startedAt, random, log);
-        frontServer = CallerServer.open(group, settings.callers(), forwarder, log);
+        state.setNewsAge(controlLoop::endpointNewsAgeMillis);
+        frontServer = CallerServer.open(group, settings.callers(), forwarder, monitor.polls(), log);
         readinessServer = StatusServer.open(group, settings.readiness(), this::readinessDocument);
         metricsServer = StatusServer.open(group, settings.metrics(), this::metricsDocument);
         loop.execute(
@@ -189,6 +192,7 @@
         state.endpoints().capacities().write(text);
         state.quarantine().writeMetrics(text);
         controlLoop.writeMetrics(text);
+        monitor.writeMetrics(text);
         text.append("# TYPE carobdoor_gateway_caller_connections gauge\n")
                 .append("carobdoor_gateway_caller_connections ")
                 .append(frontServer.connectionCount())
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -62,8 +62,6 @@
 
     private static final long RETRY_SUMMARY_INTERVAL_MILLIS = 1_000;
 
-    private static final long TRAFFIC_SUMMARY_INTERVAL_MILLIS = 5_000;
-
     private static final int STATUS_USAGE_WINDOWS = 4;
 
     private final EventLoop loop;
@@ -72,6 +70,7 @@
     private final EndpointDirectory directory;
     private final StoreClient store;
     private final LocalStoreMirror mirror;
+    private final TcpPeerNetwork network;
     private final TransportCounters traffic;
     private final PeerRegistry peers;
     private final QuarantineSync quarantineSync;
@@ -93,8 +92,6 @@
     private boolean nodeListLoaded;
     private boolean endpointWatchFailing;
     private boolean directoryStale;
-    private long loggedBytesSent;
-    private long loggedBytesReceived;
     private long endpointWatchReplyNanos = System.nanoTime();
 
     /** Creates a control loop; {@link #start} starts it. */
@@ -119,6 +116,7 @@
         mirror = new LocalStoreMirror(directory, state, log);
         eraChanges = new EraChanges(mirror, state.quarantine(), log);
         store.onNewEra(eraChanges);
+        this.network = network;
         traffic = network.counters();
         clock = ClusterClock.start(System.nanoTime(), System.currentTimeMillis());
         peers =
@@ -204,7 +202,8 @@
         }
         rolloutRunner.start();
         GuardedTask.repeat(loop, "control", this::tick, TICK_INTERVAL_MILLIS, log);
-        GuardedTask.repeat(loop, "traffic", this::logTraffic, TRAFFIC_SUMMARY_INTERVAL_MILLIS, log);
+        PeerTrafficLog traffic = new PeerTrafficLog(network, peers, log);
+        GuardedTask.repeat(loop, "traffic", traffic::write, PeerTrafficLog.INTERVAL_MILLIS, log);
         GuardedTask.repeat(loop, "retries", state::logRetries, RETRY_SUMMARY_INTERVAL_MILLIS, log);
     }
 
@@ -329,18 +328,9 @@
                 || System.nanoTime() - endpointWatchReplyNanos > directoryStaleNanos;
     }
 
-    /** Logs the bytes exchanged with other nodes, which share the link with requests. */
-    private void logTraffic() {
-        long sent = traffic.bytesSent();
-        long received = traffic.bytesReceived();
-        long seconds = TimeUnit.MILLISECONDS.toSeconds(TRAFFIC_SUMMARY_INTERVAL_MILLIS);
-        log.line("peers.traffic")
-                .add("sent_per_s", (sent - loggedBytesSent) / seconds)
-                .add("received_per_s", (received - loggedBytesReceived) / seconds)
-                .add("relay", peers.isRelay())
-                .writeSummary();
-        loggedBytesSent = sent;
-        loggedBytesReceived = received;
+    /** Returns the time since the endpoints were last known to be current, in milliseconds. */
+    public long endpointNewsAgeMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - endpointWatchReplyNanos);
     }
 
     /** Logs when the endpoints become or cease to be possibly out of date. */
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/CallLog.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/CallLog.java
@@ -1,6 +1,7 @@
 package org.carobdoor.node.gateway.forward;
 
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.carobdoor.EndpointId;
 import org.carobdoor.internal.retries.GiveUpReason;
 import org.jspecify.annotations.Nullable;
@@ -43,6 +44,8 @@
                 .add("gave_up", gaveUp == null ? "-" : gaveUp)
                 .add("units", Math.round(call.units()))
                 .add("ms", millis)
+                .add("read_late_ms", TimeUnit.NANOSECONDS.toMillis(call.exchange().maxWaitNanos()))
+                .add("news_ms", call.state().newsAgeMillis())
                 .write();
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.internal.deployment.Configuration;
@@ -40,6 +41,7 @@
     private Optional<Configuration> configuration = Optional.empty();
     private Runnable onReady = () -> {};
     private QuotaLoans quotaLoans = QuotaLoans.NONE;
+    private LongSupplier newsAge = () -> 0;
     private boolean configured;
     private boolean ready;
 
@@ -208,6 +210,18 @@
         return quotaLoans;
     }
 
+    /**
+     * Sets the supplier of the time since the endpoints were last known to be current, in
+     * milliseconds.
+     */
+    public void setNewsAge(LongSupplier millis) {
+        newsAge = millis;
+    }
+
+    long newsAgeMillis() {
+        return newsAge.getAsLong();
+    }
+
     /** Returns this node's usage counts. */
     public UsageCounts usage() {
         return usage;
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
@@ -21,6 +21,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.carobdoor.internal.deployment.CallerLimits;
+import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.node.gateway.net.BodyBuffer;
 import org.carobdoor.node.gateway.net.MessageFraming;
 import org.jspecify.annotations.Nullable;
@@ -40,6 +41,7 @@
 
     private final RequestHandler requests;
     private final CallerServer server;
+    private final PollClock polls;
     private final Deque<HttpObject> pipelinedObjects = new ArrayDeque<>();
     private @Nullable Channel channel;
     private @Nullable HttpRequest head;
@@ -50,12 +52,14 @@
     private boolean readingPipelined;
     private int pipelinedBytes;
     private long arrivedNanos;
+    private long maxWaitNanos;
     private long lastReadNanos;
     private long headStartNanos;
 
-    CallerConnectionHandler(CallerServer server, RequestHandler requests) {
+    CallerConnectionHandler(CallerServer server, RequestHandler requests, PollClock polls) {
         this.server = server;
         this.requests = requests;
+        this.polls = polls;
     }
 
     @Override
@@ -114,6 +118,7 @@
     private void readHead(Channel ch, HttpRequest request) {
         head = request;
         arrivedNanos = System.nanoTime();
+        maxWaitNanos = polls.maxWaitNanos(arrivedNanos);
         keepAlive = HttpUtil.isKeepAlive(request);
         CallerLimits limits = requests.limits();
         long length = HttpUtil.getContentLength(request, 0L);
@@ -146,7 +151,7 @@
             head = null;
             body = null;
             headStartNanos = 0;
-            Exchange e = new Exchange(this, ch, h, b.take(), arrivedNanos);
+            Exchange e = new Exchange(this, ch, h, b.take(), arrivedNanos, maxWaitNanos);
             exchange = e;
             requests.handle(e);
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.node.gateway.log.DecisionLog;
 
 /** Accepts the connections of callers and keeps track of them. */
@@ -25,6 +26,7 @@
 
     private final Set<CallerConnectionHandler> connections = new HashSet<>();
     private final RequestHandler requests;
+    private final PollClock polls;
     private final DecisionLog log;
     private final Channel listener;
 
@@ -32,8 +34,10 @@
             EventLoopGroup group,
             InetSocketAddress bind,
             RequestHandler requests,
+            PollClock polls,
             DecisionLog log) {
         this.requests = requests;
+        this.polls = polls;
         this.log = log;
         listener =
                 new ServerBootstrap()
@@ -57,14 +61,16 @@
     /**
      * Starts listening.
      *
+     * @param polls the polls of the event loop of {@code group}
      * @throws RuntimeException if the address cannot be bound
      */
     public static CallerServer open(
             EventLoopGroup group,
             InetSocketAddress bind,
             RequestHandler requests,
+            PollClock polls,
             DecisionLog log) {
-        return new CallerServer(group, bind, requests, log);
+        return new CallerServer(group, bind, requests, polls, log);
     }
 
     /** Returns the number of open connections. */
@@ -122,7 +128,7 @@
         @Override
         protected void initChannel(Channel ch) {
             CallerConnectionHandler handler =
-                    new CallerConnectionHandler(CallerServer.this, requests);
+                    new CallerConnectionHandler(CallerServer.this, requests, polls);
             ch.pipeline()
                     .addLast(new StrictRequestDecoder(handler, requests.limits().headerBytes()))
                     .addLast(new CallerResponseEncoder(handler))
--- a/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
@@ -41,6 +41,7 @@
     private final HttpRequest head;
     private final ByteBuf body;
     private final long arrivedNanos;
+    private final long maxWaitNanos;
     private @Nullable Listener listener;
     private boolean ended;
 
@@ -49,12 +50,14 @@
             Channel channel,
             HttpRequest head,
             ByteBuf body,
-            long arrivedNanos) {
+            long arrivedNanos,
+            long maxWaitNanos) {
         this.handler = handler;
         this.channel = channel;
         this.head = head;
         this.body = body;
         this.arrivedNanos = arrivedNanos;
+        this.maxWaitNanos = maxWaitNanos;
     }
 
     /** Returns the head of the request. */
@@ -72,6 +75,11 @@
         return arrivedNanos;
     }
 
+    /** Returns the longest time for which the head can have waited to be read, in nanoseconds. */
+    public long maxWaitNanos() {
+        return maxWaitNanos;
+    }
+
     /** Sets the listener for the events of the caller's connection. */
     public void setListener(Listener newListener) {
         listener = newListener;
--- a/node/src/test/java/org/carobdoor/node/gateway/ChosenEndpointLeavesTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/ChosenEndpointLeavesTest.java
@@ -20,6 +20,7 @@
 import org.carobdoor.internal.directory.EndpointEntry;
 import org.carobdoor.internal.directory.NewsSource;
 import org.carobdoor.internal.duty.UsageCounts;
+import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.internal.retries.RetryAllowance;
 import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
@@ -165,7 +166,8 @@
                         return false;
                     }
                 };
-        try (CallerServer server = CallerServer.open(group, callers, handler, log);
+        try (CallerServer server =
+                        CallerServer.open(group, callers, handler, PollClock.create(), log);
                 RawCaller caller = RawCaller.connect(callers)) {
             assertThat(server.connectionCount()).isAtLeast(0);
             caller.send(RawCaller.request("POST", "/once/a", "r-1"));
--- a/node/src/test/java/org/carobdoor/node/gateway/front/CallerBodyTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/front/CallerBodyTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.carobdoor.internal.deployment.CallerLimits;
+import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.standins.FreePorts;
 import org.junit.jupiter.api.Test;
@@ -36,7 +37,8 @@
     void timeToAssembleABodyOfTinyChunksGrowsWithItsSize() throws Exception {
         BodySizeHandler handler = new BodySizeHandler(new AtomicInteger());
         try (CallerServer server =
-                CallerServer.open(group, address, handler, DecisionLog.create())) {
+                CallerServer.open(
+                        group, address, handler, PollClock.create(), DecisionLog.create())) {
             processorNanosOf(BODY_BYTES);
             double small = processorNanosOf(BODY_BYTES);
             double large = processorNanosOf(4 * BODY_BYTES);
--- a/node/src/test/java/org/carobdoor/node/gateway/front/CallerServerTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/front/CallerServerTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.internal.deployment.CallerLimits;
+import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.standins.FreePorts;
 import org.carobdoor.standins.RawCaller;
@@ -27,7 +28,8 @@
     void noRequestIsTakenOnceAllConnectionsWereIdle() throws Exception {
         QueueingHandler handler = new QueueingHandler(new LinkedBlockingQueue<>());
         try (CallerServer server =
-                        CallerServer.open(group, address, handler, DecisionLog.create());
+                        CallerServer.open(
+                                group, address, handler, PollClock.create(), DecisionLog.create());
                 RawCaller caller = RawCaller.connect(address)) {
             caller.send(RawCaller.request("GET", "/a", "first"));
             Exchange exchange = handler.exchanges().poll(5, TimeUnit.SECONDS);
--- a/node/src/test/java/org/carobdoor/node/gateway/front/RequestFramingTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/front/RequestFramingTest.java
@@ -19,6 +19,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.carobdoor.internal.deployment.CallerLimits;
+import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.node.gateway.log.DecisionLog;
 import org.carobdoor.standins.FreePorts;
 import org.junit.jupiter.api.AfterEach;
@@ -44,7 +45,13 @@
 
     @BeforeEach
     void start() {
-        server = CallerServer.open(group, address, new RecordingHandler(), DecisionLog.create());
+        server =
+                CallerServer.open(
+                        group,
+                        address,
+                        new RecordingHandler(),
+                        PollClock.create(),
+                        DecisionLog.create());
     }
 
     @AfterEach
--- a/wire/src/main/java/org/carobdoor/wire/PeerLink.java
+++ b/wire/src/main/java/org/carobdoor/wire/PeerLink.java
@@ -1,6 +1,7 @@
 package org.carobdoor.wire;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -92,6 +93,18 @@
         return true;
     }
 
+    /** Returns the bytes in the queue and in the buffer of the connection. */
+    long queuedBytes() {
+        lock.lock();
+        try {
+            ChannelOutboundBuffer buffer =
+                    channel == null ? null : channel.unsafe().outboundBuffer();
+            return queuedBytes + (buffer == null ? 0 : buffer.totalPendingWriteBytes());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private void startConnect() {
         if (!connecting) {
             connecting = true;
--- a/wire/src/main/java/org/carobdoor/wire/TcpPeerNetwork.java
+++ b/wire/src/main/java/org/carobdoor/wire/TcpPeerNetwork.java
@@ -148,6 +148,11 @@
         return counters;
     }
 
+    /** Returns the bytes of messages that the system has not taken for sending yet. */
+    public long queuedBytes() {
+        return links.values().stream().mapToLong(PeerLink::queuedBytes).sum();
+    }
+
     @Override
     public Result<PeerMessage> call(NodeId peer, PeerMessage message, Instant deadline) {
         OutgoingMessage call = new OutgoingMessage(peer, encode(Envelope.Kind.CALL, message));
