Count a request's age from when it can have arrived, not from when it was read

Cause: the time of decoding a head was taken for the time of its arrival. An event loop that is held up (code that is loaded and interpreted after a restart, on 0.12 of a core) reads requests, the closing of their callers' connections and the news of endpoints in one turn, and sends the first on before it looks at the others.

A request that a late loop reads waits for the end of the turn, after all that lay ready, and its caller's connection is read once more just before it is written. On a loop that is on time nothing changes.

Why it works: what lay unread while the request did is applied before it is sent, and the time it lay there is part of its age.

--- a/core/src/main/java/org/carobdoor/internal/request/PollClock.java
+++ b/core/src/main/java/org/carobdoor/internal/request/PollClock.java
@@ -14,6 +14,9 @@
     /** Exceeds two polls that wait for the shortest periodic task of a node. */
     public static final long ON_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+    /** A request is not sent on knowledge that is older by this than its own reading. */
+    private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
     private int polls;
     private long previousPollNanos;
     private long pollNanos;
@@ -42,6 +45,11 @@
         return polls == 2 && nowNanos - previousPollNanos > ON_TIME_NANOS;
     }
 
+    /** Returns whether more may lie unread now than what the present turn began with. */
+    public boolean isBehind(long nowNanos) {
+        return polls == 2 && nowNanos - pollNanos > BEHIND_NANOS;
+    }
+
     /** Returns the earliest time at which data that is read now can have arrived. */
     public long earliestArrivalNanos(long nowNanos) {
         return isLate(nowNanos) ? previousPollNanos : nowNanos;
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -176,6 +176,10 @@
             listener.onEndpointLeaving();
             return;
         }
+        if (!call.exchange().confirmCallerWaits()) {
+            // The listener closes this attempt when it learns of it.
+            return;
+        }
         FullHttpRequest message =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerConnectionHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -21,6 +22,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.carobdoor.internal.deployment.CallerLimits;
+import org.carobdoor.internal.request.ConnectionArrival;
 import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.node.gateway.net.BodyBuffer;
 import org.carobdoor.node.gateway.net.MessageFraming;
@@ -42,6 +44,7 @@
     private final RequestHandler requests;
     private final CallerServer server;
     private final PollClock polls;
+    private final ConnectionArrival arrival;
     private final Deque<HttpObject> pipelinedObjects = new ArrayDeque<>();
     private @Nullable Channel channel;
     private @Nullable HttpRequest head;
@@ -60,6 +63,7 @@
         this.server = server;
         this.requests = requests;
         this.polls = polls;
+        arrival = ConnectionArrival.create(polls);
     }
 
     @Override
@@ -67,6 +71,7 @@
         channel = ctx.channel();
         lastReadNanos = System.nanoTime();
         headStartNanos = lastReadNanos;
+        arrival.accepted(lastReadNanos);
         server.addConnection(this);
     }
 
@@ -117,8 +122,9 @@
 
     private void readHead(Channel ch, HttpRequest request) {
         head = request;
-        arrivedNanos = System.nanoTime();
-        maxWaitNanos = polls.maxWaitNanos(arrivedNanos);
+        long now = System.nanoTime();
+        arrivedNanos = arrival.ofDataReadAt(now);
+        maxWaitNanos = now - arrivedNanos;
         keepAlive = HttpUtil.isKeepAlive(request);
         CallerLimits limits = requests.limits();
         long length = HttpUtil.getContentLength(request, 0L);
@@ -153,7 +159,7 @@
             headStartNanos = 0;
             Exchange e = new Exchange(this, ch, h, b.take(), arrivedNanos, maxWaitNanos);
             exchange = e;
-            requests.handle(e);
+            server.handle(e);
         }
     }
 
@@ -177,6 +183,20 @@
         ch.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
     }
 
+    /**
+     * Reads what the caller has sent and the loop has not read yet, if the loop is late or was when
+     * it read the request; only a read shows that the caller has closed the connection.
+     */
+    void readAhead() {
+        Channel ch = channel;
+        if (ch != null
+                && ch.config().isAutoRead()
+                && (maxWaitNanos > 0 || polls.isLate(System.nanoTime()))
+                && ch.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+    }
+
     boolean isKeepAlive() {
         return keepAlive && !requests.isStopping();
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
@@ -97,6 +98,35 @@
         return true;
     }
 
+    /**
+     * Handles a request. One that may have waited unread waits for the end of the turn, so that it
+     * meets what other nodes and the store have sent meanwhile.
+     */
+    void handle(Exchange exchange) {
+        if (exchange.maxWaitNanos() == 0) {
+            requests.handle(exchange);
+        } else {
+            handleAfterTurn(exchange);
+        }
+    }
+
+    private void handleAfterTurn(Exchange exchange) {
+        EventLoop loop = (EventLoop) listener.eventLoop();
+        // The second task runs after all tasks that result from the present poll.
+        loop.execute(() -> loop.execute(() -> handleIfCurrent(exchange)));
+    }
+
+    private void handleIfCurrent(Exchange exchange) {
+        if (exchange.isEnded()) {
+            return;
+        }
+        if (polls.isBehind(System.nanoTime())) {
+            handleAfterTurn(exchange);
+        } else {
+            requests.handle(exchange);
+        }
+    }
+
     void addConnection(CallerConnectionHandler h) {
         connections.add(h);
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/Exchange.java
@@ -85,6 +85,15 @@
         listener = newListener;
     }
 
+    /**
+     * Reads from the caller's connection if the event loop is late, and returns whether the caller
+     * still waits for the response.
+     */
+    public boolean confirmCallerWaits() {
+        handler.readAhead();
+        return !ended && channel.isOpen();
+    }
+
     /** Returns whether the response has ended or the caller has closed its connection. */
     public boolean isEnded() {
         return ended;
