Count the age of the store's news from when they were sent, not from when they were read

Callers saw: requests that reach an endpoint seconds after the store has acknowledged its leaving (DRAIN, one record of the users).

Cause, of the same class as a request's age: a node that other nodes tell of changes took the moment at which it processed a message for the moment at which the sender had made it. Time in the sender's queue, on the links and unread in its own socket did not count, so a node whose news come seconds late, one after the other, took itself for current and made no call to the store.

Change: a message states when it was made on its sender's steady clock; TransitDelays compares the difference of the clocks with the least of the last one to two minutes, PollClock adds the time unread. What a reader publishes has the age of the reply it rests on. The lapse after which a node watches the store itself is then counted from what its copy proves. store.news_delayed logs a delay of over half a second.

Why it works: the bound of a served node holds for the age of what it knows, whatever delays the messages. A link that is full for more than two minutes on end hides its delay, since clocks drift and senders may be suspended.

Nodes of an older release state no time: nothing changes for their messages.

--- a/core/src/main/java/org/carobdoor/internal/store/NewsFollower.java
+++ b/core/src/main/java/org/carobdoor/internal/store/NewsFollower.java
@@ -1,7 +1,6 @@
 package org.carobdoor.internal.store;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 
@@ -78,21 +77,21 @@
     }
 
     /**
-     * Records that a message has shown the copy to be complete {@code ageMillis} ago, unless
-     * changes are known to be missing.
+     * Records that a message has shown the copy to have been complete at a time, unless changes are
+     * known to be missing.
      *
      * @param revision the revision of the copy
+     * @param atNanos that time: when the store replied to the sender, not when the message was read
      */
-    public void recordProof(long revision, long ageMillis, long nowNanos) {
+    public void recordProof(long revision, long atNanos, long nowNanos) {
         if (gapSender != null && revision < gapRevision) {
             return;
         }
-        long at = nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis);
         if (!isProven(nowNanos)) {
             goodSinceNanos = nowNanos;
         }
-        if (!proven || at - provenNanos > 0) {
-            provenNanos = at;
+        if (!proven || atNanos - provenNanos > 0) {
+            provenNanos = atNanos;
         }
         proven = true;
         gapSender = null;
--- a/core/src/main/java/org/carobdoor/internal/store/PrefixCopy.java
+++ b/core/src/main/java/org/carobdoor/internal/store/PrefixCopy.java
@@ -124,15 +124,15 @@
      */
     public StoreNews newsAfter(long known, long ageMillis) {
         if (known >= changeRevision) {
-            return new StoreNews(era, prefix, changeRevision, revision, List.of(), ageMillis);
+            return new StoreNews(era, prefix, changeRevision, revision, List.of(), ageMillis, 0);
         }
         if (known < recentAfter) {
             List<ReplicaItem> all = new ArrayList<>();
             items.values().forEach(i -> all.add(toReplicaItem(new StoreChange.Written(i))));
-            return new StoreNews(era, prefix, 0, revision, all, ageMillis);
+            return new StoreNews(era, prefix, 0, revision, all, ageMillis, 0);
         }
         List<ReplicaItem> changes = recent.stream().filter(i -> i.revision() > known).toList();
-        return new StoreNews(era, prefix, known, revision, changes, ageMillis);
+        return new StoreNews(era, prefix, known, revision, changes, ageMillis, 0);
     }
 
     private NewsOutcome.Applied apply(List<ReplicaItem> changes, long upTo) {
--- a/core/src/main/java/org/carobdoor/message/StoreNews.java
+++ b/core/src/main/java/org/carobdoor/message/StoreNews.java
@@ -12,6 +12,7 @@
  * @param revision the revision up to which the sender is complete
  * @param items the changed items; deleted ones are marked
  * @param ageMillis the time since the last reply of the store to the sender, in milliseconds
+ * @param sentNanos when the message was made, on the steady clock of the sender; 0 if not stated
  */
 public record StoreNews(
         long era,
@@ -19,10 +20,16 @@
         long afterRevision,
         long revision,
         List<ReplicaItem> items,
-        long ageMillis)
+        long ageMillis,
+        long sentNanos)
         implements NodeMessage {
     /** Copies the list. */
     public StoreNews {
         items = List.copyOf(items);
     }
+
+    /** Returns a copy that states when it was made. */
+    public StoreNews sentAt(long nanos) {
+        return new StoreNews(era, prefix, afterRevision, revision, items, ageMillis, nanos);
+    }
 }
--- a/core/src/test/java/org/carobdoor/internal/peers/StoreReadersTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/StoreReadersTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.carobdoor.Bytes;
 import org.carobdoor.internal.store.NewsFollower;
@@ -311,7 +312,11 @@
             switch (copy.receive(news)) {
                 case NewsOutcome.Gap g -> follower.recordGap(from, news.revision(), cluster.now);
                 case NewsOutcome.Unusable u -> {}
-                default -> follower.recordProof(copy.revision(), news.ageMillis(), cluster.now);
+                default ->
+                        follower.recordProof(
+                                copy.revision(),
+                                cluster.now - TimeUnit.MILLISECONDS.toNanos(news.ageMillis()),
+                                cluster.now);
             }
             assertThat(copy.revision()).isAtLeast(before);
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -117,7 +117,16 @@
         endpoints.onLeaving(entry -> directory.recordLeaving(entry, System.nanoTime()));
         controlLoop =
                 new ControlLoop(
-                        loop, settings, state, directory, network, run, startedAt, random, log);
+                        loop,
+                        settings,
+                        state,
+                        directory,
+                        network,
+                        run,
+                        startedAt,
+                        random,
+                        monitor.polls(),
+                        log);
         state.setNewsAge(controlLoop::endpointNewsAgeMillis);
         frontServer = CallerServer.open(group, settings.callers(), forwarder, monitor.polls(), log);
         readinessServer = StatusServer.open(group, settings.readiness(), this::readinessDocument);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -14,6 +14,7 @@
 import org.carobdoor.internal.duty.ClusterUsage;
 import org.carobdoor.internal.duty.DutyLease;
 import org.carobdoor.internal.peers.NodeCensus;
+import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.internal.store.NewsFollower;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
@@ -71,6 +72,7 @@
     private final StoreClient store;
     private final LocalStoreMirror mirror;
     private final TcpPeerNetwork network;
+    private final PollClock polls;
     private final TransportCounters traffic;
     private final PeerRegistry peers;
     private final QuarantineSync quarantineSync;
@@ -104,6 +106,7 @@
             String run,
             long startedAtMillis,
             RandomGenerator random,
+            PollClock polls,
             DecisionLog log) {
         this.loop = loop;
         this.settings = settings;
@@ -117,6 +120,7 @@
         eraChanges = new EraChanges(mirror, state.quarantine(), log);
         store.onNewEra(eraChanges);
         this.network = network;
+        this.polls = polls;
         traffic = network.counters();
         clock = ClusterClock.start(System.nanoTime(), System.currentTimeMillis());
         peers =
@@ -138,7 +142,7 @@
                 new QuarantineSync(loop, store, network, state.quarantine(), peers::sendToAll, log);
         dutyRunner = settings.cloud().map(a -> newDutyRunner(a, random)).orElse(null);
         this.random = random;
-        storeNews = new StoreNewsExchange(loop, network, peers::storeReaders, log);
+        storeNews = new StoreNewsExchange(loop, network, peers::storeReaders, polls, log);
         rolloutRunner =
                 new RolloutRunner(
                         loop,
@@ -293,6 +297,7 @@
                         schedule,
                         schedule(READER_STALE_LIMIT),
                         store::era,
+                        polls,
                         listener,
                         log);
         LongSupplier delay =
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreFeed.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreFeed.java
@@ -6,6 +6,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.carobdoor.internal.peers.StoreReaderPlan;
+import org.carobdoor.internal.request.PollClock;
 import org.carobdoor.internal.store.NewsFollower;
 import org.carobdoor.internal.store.NewsOutcome;
 import org.carobdoor.internal.store.PrefixCopy;
@@ -34,6 +35,7 @@
     private final WatchSchedule ownSchedule;
     private final WatchSchedule readerSchedule;
     private final LongSupplier storeEra;
+    private final PollClock polls;
     private final StoreWatch.Listener listener;
     private final DecisionLog log;
     private @Nullable StoreWatch watch;
@@ -49,6 +51,7 @@
      * @param ownSchedule the waits of a node that watches for itself
      * @param readerSchedule the waits of a node that watches for others
      * @param storeEra the era of the store's last reply; 0 if the store states none
+     * @param polls the polls of the event loop
      */
     StoreFeed(
             String prefix,
@@ -56,6 +59,7 @@
             WatchSchedule ownSchedule,
             WatchSchedule readerSchedule,
             LongSupplier storeEra,
+            PollClock polls,
             StoreWatch.Listener listener,
             DecisionLog log) {
         this.prefix = prefix;
@@ -64,6 +68,7 @@
         this.ownSchedule = ownSchedule;
         this.readerSchedule = readerSchedule;
         this.storeEra = storeEra;
+        this.polls = polls;
         this.listener = listener;
         this.log = log;
     }
@@ -150,18 +155,23 @@
         return Optional.of(copy.newsAfter(known, age));
     }
 
-    void receive(String from, StoreNews news, long nowNanos) {
+    /**
+     * Applies a message of another node.
+     *
+     * @param provenNanos when the store gave the sender the reply that the message rests on
+     */
+    void receive(String from, StoreNews news, long provenNanos, long nowNanos) {
         if (!follower.isRelayed()) {
             return;
         }
         switch (copy.receive(news)) {
             case NewsOutcome.Applied(List<StoreChange> changes, long revision) -> {
-                recordProof(news, nowNanos);
+                recordProof(provenNanos, nowNanos);
                 listener.changed(changes, revision);
             }
             case NewsOutcome.Replaced(List<StoreItem> items, long revision) -> {
                 follower.recordComplete();
-                recordProof(news, nowNanos);
+                recordProof(provenNanos, nowNanos);
                 listener.loaded(items, revision);
             }
             case NewsOutcome.Gap g ->
@@ -173,8 +183,8 @@
         }
     }
 
-    private void recordProof(StoreNews news, long nowNanos) {
-        follower.recordProof(copy.revision(), news.ageMillis(), nowNanos);
+    private void recordProof(long provenNanos, long nowNanos) {
+        follower.recordProof(copy.revision(), provenNanos, nowNanos);
         if (follower.isProven(nowNanos)) {
             listener.callSucceeded();
         }
@@ -208,7 +218,7 @@
 
     @Override
     public void callSucceeded() {
-        replyNanos = System.nanoTime();
+        replyNanos = polls.earliestArrivalNanos(System.nanoTime());
         listener.callSucceeded();
     }
 
@@ -225,9 +235,10 @@
             publishedRevision = copy.revision();
             return;
         }
-        StoreNews changes = copy.newsAfter(publishedRevision, 0);
+        long age = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - replyNanos);
+        StoreNews changes = copy.newsAfter(publishedRevision, age);
         sender.accept(List.copyOf(plan.served()), changes);
-        sender.accept(List.copyOf(plan.informed()), copy.newsAfter(Long.MAX_VALUE, 0));
+        sender.accept(List.copyOf(plan.informed()), copy.newsAfter(Long.MAX_VALUE, age));
         publishedRevision = copy.revision();
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreNewsExchange.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreNewsExchange.java
@@ -3,9 +3,12 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.carobdoor.NodeId;
 import org.carobdoor.internal.peers.StoreReaderPlan;
+import org.carobdoor.internal.request.PollClock;
+import org.carobdoor.internal.store.TransitDelays;
 import org.carobdoor.message.PeerMessage;
 import org.carobdoor.message.StoreNews;
 import org.carobdoor.message.StoreNewsRequest;
@@ -19,10 +22,13 @@
 final class StoreNewsExchange {
     private static final long TICK_INTERVAL_MILLIS = 100;
     private static final int TICKS_PER_PLAN = 10;
+    private static final long LOGGED_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final EventLoop loop;
     private final TcpPeerNetwork network;
     private final Function<Long, StoreReaderPlan> planner;
+    private final PollClock polls;
+    private final TransitDelays delays = TransitDelays.create(System.nanoTime());
     private final DecisionLog log;
     private final List<StoreFeed> feeds = new ArrayList<>();
     private int ticks;
@@ -35,18 +41,25 @@
      * Creates an exchange without feeds.
      *
      * @param planner returns who watches the store, at a time in nanoseconds
+     * @param polls the polls of {@code loop}
      */
     StoreNewsExchange(
             EventLoop loop,
             TcpPeerNetwork network,
             Function<Long, StoreReaderPlan> planner,
+            PollClock polls,
             DecisionLog log) {
+        this.polls = polls;
         this.loop = loop;
         this.network = network;
         this.planner = planner;
         this.log = log;
         network.handleNonBlocking(
-                StoreNews.class, (from, news) -> loop.execute(() -> receive(from.value(), news)));
+                StoreNews.class,
+                (from, news) -> {
+                    long arrived = polls.earliestArrivalNanos(System.nanoTime());
+                    loop.execute(() -> receive(from.value(), news, arrived));
+                });
         network.handleNonBlocking(
                 StoreNewsRequest.class, (from, r) -> loop.execute(() -> answer(from, r)));
     }
@@ -83,21 +96,35 @@
         if (!runs.isEmpty()) {
             newsMessages += runs.size();
             newsItems += (long) runs.size() * news.items().size();
-            network.send(runs.stream().map(NodeId::new).toList(), (PeerMessage) news);
+            PeerMessage message = news.sentAt(System.nanoTime());
+            network.send(runs.stream().map(NodeId::new).toList(), message);
         }
     }
 
-    private void receive(String from, StoreNews news) {
+    private void receive(String from, StoreNews news, long arrivedNanos) {
+        long delay =
+                news.sentNanos() == 0 ? 0 : delays.record(from, news.sentNanos(), arrivedNanos);
+        logDelay(from, delay);
+        long proven = arrivedNanos - delay - TimeUnit.MILLISECONDS.toNanos(news.ageMillis());
         feeds.stream()
                 .filter(f -> f.prefix().equals(news.prefix()))
                 .forEach(
                         f ->
                                 GuardedTask.run(
                                         "store news " + news.prefix(),
-                                        () -> f.receive(from, news, System.nanoTime()),
+                                        () -> f.receive(from, news, proven, System.nanoTime()),
                                         log));
     }
 
+    private void logDelay(String from, long delayNanos) {
+        if (delayNanos > LOGGED_DELAY_NANOS) {
+            log.line("store.news_delayed")
+                    .add("from", from)
+                    .add("ms", TimeUnit.NANOSECONDS.toMillis(delayNanos))
+                    .write();
+        }
+    }
+
     private void answer(NodeId from, StoreNewsRequest request) {
         feeds.stream()
                 .filter(f -> f.prefix().equals(request.prefix()))
--- a/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
+++ b/wire/src/main/java/org/carobdoor/wire/StatusCodec.java
@@ -138,6 +138,7 @@
                 .setRevision(m.revision())
                 .addAllItems(m.items().stream().map(MessageEncoder::encode).toList())
                 .setAgeMillis(m.ageMillis())
+                .setSentNanos(m.sentNanos())
                 .build();
     }
 
@@ -148,7 +149,8 @@
                 p.getAfterRevision(),
                 p.getRevision(),
                 p.getItemsList().stream().map(MessageDecoder::decodeReplicaItem).toList(),
-                p.getAgeMillis());
+                p.getAgeMillis(),
+                p.getSentNanos());
     }
 
     static MessagesProto.StoreNewsRequest encode(StoreNewsRequest m) {
