Continue a stream only at the software version that began it

Callers saw: answers of status 200, complete, whose first part came from one version of an engine and the rest from another (ORDER), after connections were reset or nodes were killed while two versions served; nothing in the answer showed it.

Cause: a stream that broke went on at any endpoint of its service, within an answer and when its caller took it up again: Resumes was not read, and the version of an entry was used by roll-outs only. Class: a state that the caller resumes is bound to who made it, and the binding was kept nowhere.

Change: after its first event an answer keeps to the version that sent it. A request that takes up a stream goes to the version of the request that Resumes names. A node remembers the streams that it started; while several versions serve, and for 30 s after, the nodes record them in the store as they are sent, in batches under a lease of each run. A node that does not know a stream asks the store, unless it has seen a single version for longer than a stream lives. What cannot be told is refused (503, not run), as is a stream whose version has left.

Why it works: a record outlives all nodes, and that there is one shows that several versions served; without a record and with endpoints that are older than any stream there was one version only. A request that is recorded keeps to its version also before its first event, so a record is never wrong. With one version in service nothing is written; a start costs one read.

--- a/core/src/main/java/org/carobdoor/internal/request/CallerRequest.java
+++ b/core/src/main/java/org/carobdoor/internal/request/CallerRequest.java
@@ -15,6 +15,7 @@
  * @param prompt the prompt, on routes of model engines
  * @param resumeAfter the identifier of the last event that the caller received, if it resumes a
  *     stream
+ * @param resumes the request of the caller that brought the first event of that stream
  */
 public record CallerRequest(
         String id,
@@ -23,7 +24,8 @@
         OptionalLong waitMillis,
         @Nullable String key,
         Optional<Prompt> prompt,
-        Optional<String> resumeAfter) {
+        Optional<String> resumeAfter,
+        Optional<String> resumes) {
 
     @Override
     public String toString() {
--- a/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.duty.UsageCounts;
 import org.carobdoor.internal.request.ShutdownAdmission;
+import org.carobdoor.internal.resume.StreamVersions;
 import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.node.gateway.control.ControlLoop;
@@ -99,8 +100,8 @@
                         UsageCounts.create(settings.bounds().usageWindow().toMillis()),
                         log,
                         random,
-                        RetryBudgets.create(
-                                settings.bounds().retries(), random, System.nanoTime()));
+                        RetryBudgets.create(settings.bounds().retries(), random, System.nanoTime()),
+                        StreamVersions.create(settings.firstStart()));
         forwarder = Forwarder.create(state);
         state.onReady(forwarder::serveWaiting);
         state.quarantine().onAdded(forwarder::abandonQuarantined);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -79,6 +79,7 @@
     private final QuotaLender quotaLender;
     private final @Nullable DutyRunner dutyRunner;
     private final RolloutRunner rolloutRunner;
+    private final StoreStreamRecords streamRecords;
     private final ClusterClock clock;
     private final ClusterUsage usage = ClusterUsage.create();
     private final DecisionLog log;
@@ -157,7 +158,7 @@
         if (dutyRunner != null) {
             eraChanges.add(dutyRunner::eraBegan);
         }
-        eraChanges.add(era -> peers.eraBegan());
+        streamRecords = new StoreStreamRecords(loop, store, state, peers::nodeCount, run, log);
         Duration staleLimit = settings.bounds().staleLimit();
         configurationWatch =
                 watch(
@@ -195,6 +196,9 @@
 
     /** Starts the store watches, the exchange with the other nodes, and the duties. */
     public void start() {
+        eraChanges.add(era -> peers.eraBegan());
+        eraChanges.add(era -> streamRecords.eraBegan());
+        state.setStreamRecords(streamRecords, () -> !isDirectoryStale());
         readStore();
         // After all other listeners, which drop what is not valid in the new era.
         eraChanges.add(era -> readStore());
@@ -205,6 +209,7 @@
             dutyRunner.start();
         }
         rolloutRunner.start();
+        streamRecords.start();
         GuardedTask.repeat(loop, "control", this::tick, TICK_INTERVAL_MILLIS, log);
         PeerTrafficLog traffic = new PeerTrafficLog(network, peers, log);
         GuardedTask.repeat(loop, "traffic", traffic::write, PeerTrafficLog.INTERVAL_MILLIS, log);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/NodeStoreKeys.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/NodeStoreKeys.java
@@ -27,5 +27,11 @@
      */
     static final String UNREPORTED_USAGE = "carobdoor-open-usage";
 
+    /**
+     * Prefix of the keys of the streams that runs of nodes have started, each bound to a lease. Not
+     * under {@link #PREFIX}, as above.
+     */
+    static final String STREAMS_PREFIX = "carobdoor-streams/";
+
     private NodeStoreKeys() {}
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/endpoint/EndpointTable.java
@@ -104,8 +104,16 @@
      * endpoints, unless most are ejected.
      */
     public List<EndpointLoad> accepting(String service, long nowNanos) {
+        return accepting(service, e -> true, nowNanos);
+    }
+
+    /** As {@link #accepting(String, long)}, among the endpoints that match {@code filter}. */
+    public List<EndpointLoad> accepting(
+            String service, Predicate<EndpointLoad> filter, long nowNanos) {
         List<EndpointLoad> accepting =
-                ofService(service).stream().filter(e -> e.entry().accepting()).toList();
+                ofService(service).stream()
+                        .filter(e -> e.entry().accepting() && filter.test(e))
+                        .toList();
         List<EndpointLoad> connectable =
                 preferredOrAll(accepting, e -> !e.health().isUnreachable(nowNanos));
         List<EndpointLoad> inReachableZones =
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/AttemptListener.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import org.carobdoor.internal.directory.EndpointEntry;
 import org.carobdoor.internal.request.EndpointAnswer;
 
 /**
@@ -17,6 +18,9 @@
     /** The endpoint began to leave, or left, after it had been chosen; nothing was sent. */
     void onEndpointLeaving();
 
+    /** Returns whether an endpoint, as it is now, may still get the request. */
+    boolean isUsable(EndpointEntry endpoint);
+
     /** The endpoint stated that it did not run the request. */
     void onRejected(EndpointAnswer decodedHead);
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/CallContext.java
@@ -41,6 +41,12 @@
         long deadlineNanos) {
     static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Returns when the caller stops waiting, in {@link System#nanoTime}. */
+    long callerWaitsUntilNanos() {
+        long millis = request.waitMillis().orElse(route.timeoutMillis());
+        return exchange.arrivedNanos() + millis * NANOS_PER_MILLI;
+    }
+
     long remainingMillis(long nowNanos) {
         return (deadlineNanos - nowNanos) / NANOS_PER_MILLI;
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/EndpointAttempt.java
@@ -170,7 +170,7 @@
             listener.onQuarantined();
             return;
         }
-        if (!endpoint.isAccepting()) {
+        if (!endpoint.isAccepting() || !listener.isUsable(load.entry())) {
             close();
             logWithheld();
             listener.onEndpointLeaving();
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -10,17 +10,14 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.EndpointId;
-import org.carobdoor.internal.deployment.EngineTraits;
 import org.carobdoor.internal.deployment.Route;
 import org.carobdoor.internal.deployment.RouteKind;
 import org.carobdoor.internal.deployment.Service;
+import org.carobdoor.internal.directory.EndpointEntry;
 import org.carobdoor.internal.fleet.EngineTimeEstimator;
 import org.carobdoor.internal.placement.EndpointLoad;
-import org.carobdoor.internal.placement.EnginePlacement;
 import org.carobdoor.internal.placement.Placement;
-import org.carobdoor.internal.placement.PlainPlacement;
 import org.carobdoor.internal.request.EndpointAnswer;
-import org.carobdoor.internal.request.Prompt;
 import org.carobdoor.internal.retries.GiveUpReason;
 import org.carobdoor.node.gateway.endpoint.Endpoint;
 import org.carobdoor.node.gateway.front.ErrorResponse;
@@ -55,17 +52,18 @@
     /** Retry-After if endpoints rejected a request: their queues shrink within this time. */
     private static final long REJECTED_RETRY_AFTER_MILLIS = 250;
 
-    /**
-     * Maximum fraction of the time to the deadline that a request may spend in a queue; a request
-     * that would wait longer is refused.
-     */
-    private static final double MAX_QUEUE_TIME_FRACTION = 0.5;
+    /** Retry-After if the version that began a stream cannot be told: a record of it may follow. */
+    private static final long UNKNOWN_VERSION_RETRY_AFTER_MILLIS = 400;
+
+    /** Retry-After if no endpoint has the version that began a stream any more. */
+    private static final long VERSION_GONE_RETRY_AFTER_MILLIS = 60_000;
 
     private final CallContext call;
     private final ForwardingState state;
     private final Exchange exchange;
     private final Route route;
     private final Service service;
+    private final VersionBinding binding;
     private final Set<ForwardedCall> openCalls;
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
     private @Nullable ScheduledFuture<?> deadlineTimer;
@@ -95,6 +93,7 @@
         this.exchange = call.exchange();
         this.route = call.route();
         this.service = call.service();
+        this.binding = new VersionBinding(call);
         this.openCalls = openCalls;
     }
 
@@ -107,7 +106,17 @@
                 .prompt()
                 .ifPresent(p -> state.addEngineTime(service.name(), EngineTimeEstimator.millis(p)));
         toNewVersion = state.versions().selector().choosesNew(service.name(), state.random());
-        selectAndSend();
+        binding.determine(
+                this::selectAndSend,
+                () -> fail("unknown_version", UNKNOWN_VERSION_RETRY_AFTER_MILLIS));
+    }
+
+    private void failWithoutEndpoint() {
+        if (binding.isVersionGone()) {
+            fail("version_gone", VERSION_GONE_RETRY_AFTER_MILLIS);
+        } else {
+            fail("no_endpoint", NO_ENDPOINT_RETRY_AFTER_MILLIS);
+        }
     }
 
     private void selectAndSend() {
@@ -116,13 +125,13 @@
             timeOut();
             return;
         }
-        Placement placement = selectEndpoint(candidates(now), now);
+        Placement placement = EndpointSelection.choose(call, candidates(now), now);
         if (toNewVersion && !(placement instanceof Placement.Chosen)) {
             toNewVersion = false;
-            placement = selectEndpoint(candidates(now), now);
+            placement = EndpointSelection.choose(call, candidates(now), now);
         }
         switch (placement) {
-            case Placement.NoEndpoint() -> fail("no_endpoint", NO_ENDPOINT_RETRY_AFTER_MILLIS);
+            case Placement.NoEndpoint() -> failWithoutEndpoint();
             case Placement.Saturated(long retryAfter) -> fail("saturated", retryAfter);
             case Placement.Chosen chosen -> send(chosen);
         }
@@ -130,35 +139,11 @@
 
     private List<EndpointLoad> candidates(long now) {
         boolean isNew = toNewVersion && sends == 0;
-        return state.endpointsFor(service.name(), isNew, now).stream()
+        return binding.candidates(isNew, now).stream()
                 .filter(e -> !triedEndpoints.contains(e.entry().id()))
                 .toList();
     }
 
-    private Placement selectEndpoint(List<EndpointLoad> candidates, long now) {
-        double maxQueueMillis = call.remainingMillis(now) * MAX_QUEUE_TIME_FRACTION;
-        Optional<Prompt> prompt = call.request().prompt();
-        boolean engine = service.engine().isPresent() && prompt.isPresent();
-        if (state.endpoints().capacities().isUsedFor(engine)) {
-            return LearnedSelection.choose(call, candidates, maxQueueMillis, now);
-        }
-        if (!engine) {
-            return PlainPlacement.choose(candidates, state.zone(), maxQueueMillis, now);
-        }
-        EngineTraits traits = service.engine().get();
-        if (prompt.get().totalTokens() > traits.kvCacheTokens()) {
-            return new Placement.Saturated(0);
-        }
-        return EnginePlacement.choose(
-                candidates,
-                prompt.get(),
-                traits.slots(),
-                traits.kvCacheTokens(),
-                state.zone(),
-                maxQueueMillis,
-                now);
-    }
-
     private void send(Placement.Chosen chosen) {
         EndpointId id = chosen.endpoint().entry().id();
         Optional<Endpoint> endpoint = state.endpoints().find(id);
@@ -175,6 +160,7 @@
                 () -> {
                     state.counters().recordSend(service.name(), sends > 0);
                     state.versions().selector().recordSent(chosen.endpoint().entry());
+                    binding.recordSent(chosen.endpoint().entry());
                     sends++;
                     if (route.isRepeatable() && hasAttemptsLeft()) {
                         a.scheduleSlowResponseCheck();
@@ -314,6 +300,11 @@
         selectAndSend();
     }
 
+    @Override
+    public boolean isUsable(EndpointEntry endpoint) {
+        return binding.allows(endpoint);
+    }
+
     @Override
     public void onRejected(EndpointAnswer decodedHead) {
         attempt = null;
@@ -403,6 +394,7 @@
             return;
         }
         countUsage(System.nanoTime());
+        binding.recordBegun();
         a.onTokens();
         a.markForwarded();
         startStream(head);
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -5,12 +5,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.internal.deployment.Configuration;
 import org.carobdoor.internal.duty.UsageCounts;
 import org.carobdoor.internal.placement.EndpointLoad;
+import org.carobdoor.internal.resume.StreamVersions;
 import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
 import org.carobdoor.node.gateway.log.DecisionLog;
@@ -34,6 +38,7 @@
     private final RequestCounters counters = RequestCounters.create();
     private final RandomGenerator random;
     private final RetryBudgets retries;
+    private final StreamVersions streams;
     private final RetryTally retryTally = new RetryTally();
     private final RequestQuarantine quarantine;
     private final Map<String, Double> workMillis = new HashMap<>();
@@ -42,6 +47,8 @@
     private Runnable onReady = () -> {};
     private QuotaLoans quotaLoans = QuotaLoans.NONE;
     private LongSupplier newsAge = () -> 0;
+    private StreamRecords streamRecords = StreamRecords.NONE;
+    private BooleanSupplier directoryCurrent = () -> true;
     private boolean configured;
     private boolean ready;
 
@@ -56,6 +63,7 @@
      *
      * @param run identifies the process of the node
      * @param retries the retry budgets of the services
+     * @param streams the versions of the streams that callers may take up again
      */
     public ForwardingState(
             String run,
@@ -66,7 +74,8 @@
             UsageCounts usage,
             DecisionLog log,
             RandomGenerator random,
-            RetryBudgets retries) {
+            RetryBudgets retries,
+            StreamVersions streams) {
         this.loop = loop;
         this.zone = zone;
         this.endpoints = endpoints;
@@ -75,6 +84,7 @@
         this.log = log;
         this.random = random;
         this.retries = retries;
+        this.streams = streams;
         this.quarantine = RequestQuarantine.create(run, random, this::clusterMillis, log);
         this.clusterTimeMillis = System.currentTimeMillis();
         this.clusterTimeSetAtNanos = System.nanoTime();
@@ -222,6 +232,42 @@
         return newsAge.getAsLong();
     }
 
+    /** Returns the versions of the streams that callers may take up again. */
+    public StreamVersions streams() {
+        return streams;
+    }
+
+    /**
+     * Sets where the streams of other nodes and earlier runs are recorded.
+     *
+     * @param current whether the endpoints are up to date
+     */
+    public void setStreamRecords(StreamRecords records, BooleanSupplier current) {
+        streamRecords = records;
+        directoryCurrent = current;
+    }
+
+    StreamRecords streamRecords() {
+        return streamRecords;
+    }
+
+    boolean isDirectoryCurrent() {
+        return directoryCurrent.getAsBoolean();
+    }
+
+    /** Records the versions of the endpoints of all services. */
+    public void recordVersions(long nowNanos) {
+        configuration.ifPresent(c -> c.services().forEach(s -> recordVersions(s.name(), nowNanos)));
+    }
+
+    void recordVersions(String service, long nowNanos) {
+        Set<String> listed =
+                endpoints.ofService(service).stream()
+                        .map(e -> e.entry().version())
+                        .collect(Collectors.toSet());
+        streams.recordListed(service, listed, nowNanos);
+    }
+
     /** Returns this node's usage counts. */
     public UsageCounts usage() {
         return usage;
@@ -269,7 +315,7 @@
         return quarantine;
     }
 
-    private long clusterMillis() {
+    long clusterMillis() {
         return clusterMillis(System.nanoTime());
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/RequestCounters.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/RequestCounters.java
@@ -17,6 +17,7 @@
     private final Histogram latency = new Histogram(MAX_LATENCY_MILLIS, SIGNIFICANT_DIGITS);
     private final Map<String, Long> sends = new TreeMap<>();
     private final Map<String, Long> repeats = new TreeMap<>();
+    private final Map<String, Long> resumes = new TreeMap<>();
     private final Map<NewsSource.Kind, Long> withheld = new EnumMap<>(NewsSource.Kind.class);
 
     /** Creates counters that start at zero. */
@@ -48,6 +49,15 @@
         withheld.merge(source, 1L, Long::sum);
     }
 
+    /**
+     * Counts a request that takes up a stream.
+     *
+     * @param source what told the version of the stream; {@code unknown} if nothing did
+     */
+    void recordResume(String source) {
+        resumes.merge(source, 1L, Long::sum);
+    }
+
     /** Writes the counters as lines of the Prometheus text format. */
     public void write(StringBuilder to) {
         to.append("# TYPE carobdoor_gateway_requests counter\n");
@@ -68,6 +78,14 @@
                     .append(withheld.getOrDefault(k, 0L))
                     .append('\n');
         }
+        to.append("# TYPE carobdoor_gateway_streams_resumed counter\n");
+        resumes.forEach(
+                (source, n) ->
+                        to.append("carobdoor_gateway_streams_resumed_total{version_from=\"")
+                                .append(source)
+                                .append("\"} ")
+                                .append(n)
+                                .append('\n'));
         to.append("# TYPE carobdoor_gateway_latency_ms summary\n");
         for (double q : new double[] {0.5, 0.9, 0.99}) {
             to.append("carobdoor_gateway_latency_ms{quantile=\"")
--- /dev/null
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/VersionBinding.java
@@ -0,0 +1,196 @@
+package org.carobdoor.node.gateway.forward;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.carobdoor.internal.deployment.RouteKind;
+import org.carobdoor.internal.directory.EndpointEntry;
+import org.carobdoor.internal.placement.EndpointLoad;
+import org.carobdoor.internal.request.CallerRequest;
+import org.carobdoor.internal.resume.ResumeDecision;
+import org.carobdoor.internal.resume.StoredStarts;
+import org.carobdoor.internal.resume.StreamStart;
+import org.carobdoor.internal.resume.StreamVersions;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The software version that a request must keep to: that of the endpoint which sent the first event
+ * of its stream, to this or to an earlier request of the caller. Confined to the event loop.
+ */
+final class VersionBinding {
+    /** A node that began a stream has recorded it in the store within this time. */
+    private static final long RECORD_DELAY_MILLIS = 450;
+
+    /** Added to the time for which a caller waits, for a record to outlive its last attempt. */
+    private static final long KEEP_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    /** Least time left for which a second read of the records is awaited. */
+    private static final long MIN_WAIT_MILLIS = 3 * RECORD_DELAY_MILLIS;
+
+    private final CallContext call;
+    private final ForwardingState state;
+    private final StreamVersions streams;
+    private final boolean resumable;
+    private @Nullable String version;
+    private @Nullable String sentVersion;
+
+    VersionBinding(CallContext call) {
+        this.call = call;
+        this.state = call.state();
+        this.streams = state.streams();
+        this.resumable = call.route().kind() == RouteKind.STREAMING && call.route().isRepeatable();
+    }
+
+    private boolean isTakeUp() {
+        CallerRequest r = call.request();
+        return resumable && (r.resumes().isPresent() || r.resumeAfter().isPresent());
+    }
+
+    private String streamId() {
+        return call.request().resumes().orElse("");
+    }
+
+    /**
+     * Determines the version of a request that takes up a stream, at once for any other. Runs
+     * neither task if the request has ended meanwhile.
+     *
+     * @param onDetermined runs when the request may be sent
+     * @param onUnknown runs if the version cannot be told, so that the request must not be sent
+     */
+    void determine(Runnable onDetermined, Runnable onUnknown) {
+        if (!isTakeUp()) {
+            onDetermined.run();
+            return;
+        }
+        long now = System.nanoTime();
+        state.recordVersions(call.service().name(), now);
+        ResumeDecision decision =
+                streams.decide(streamId(), call.service().name(), state.isDirectoryCurrent(), now);
+        switch (decision) {
+            case ResumeDecision.Only(String only) -> bind(only, "node", onDetermined);
+            case ResumeDecision.AskStore a -> askStore(true, onDetermined, onUnknown);
+            case ResumeDecision.Unknown u -> refuse("node", onUnknown);
+        }
+    }
+
+    private void askStore(boolean first, Runnable onDetermined, Runnable onUnknown) {
+        state.streamRecords()
+                .read(
+                        stored -> {
+                            if (call.exchange().isEnded()) {
+                                return;
+                            }
+                            if (stored.isEmpty()) {
+                                refuse("no_answer", onUnknown);
+                            } else if (decide(stored.get())
+                                    instanceof ResumeDecision.Only(String only)) {
+                                bind(only, "store", onDetermined);
+                            } else if (first && mayAppear(stored.get())) {
+                                askAgain(onDetermined, onUnknown);
+                            } else {
+                                refuse("store", onUnknown);
+                            }
+                        });
+    }
+
+    private ResumeDecision decide(StoredStarts stored) {
+        String service = call.service().name();
+        return streams.decide(
+                streamId(), service, stored, oldestStartAgeMillis(), System.nanoTime());
+    }
+
+    private OptionalLong oldestStartAgeMillis() {
+        long now = state.clusterMillis();
+        return state.endpoints().ofService(call.service().name()).stream()
+                .mapToLong(e -> e.entry().startedAtMillis())
+                .filter(started -> started > 0)
+                .map(started -> now - started)
+                .max();
+    }
+
+    /** Returns whether another node may still record the stream. */
+    private boolean mayAppear(StoredStarts stored) {
+        return !streamId().isEmpty()
+                && stored.mixedServices().contains(call.service().name())
+                && call.remainingMillis(System.nanoTime()) > MIN_WAIT_MILLIS;
+    }
+
+    private void askAgain(Runnable onDetermined, Runnable onUnknown) {
+        state.loop()
+                .schedule(
+                        () -> askStore(false, onDetermined, onUnknown),
+                        RECORD_DELAY_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void bind(String only, String source, Runnable onDetermined) {
+        version = only;
+        log(only, source);
+        onDetermined.run();
+    }
+
+    private void refuse(String source, Runnable onUnknown) {
+        log("-", source);
+        onUnknown.run();
+    }
+
+    private void log(String only, String source) {
+        state.counters().recordResume(only.equals("-") ? "unknown" : source);
+        state.log()
+                .line("stream.resumed")
+                .add("id", call.request().id())
+                .add("resumes", streamId())
+                .add("version", only)
+                .add("source", source)
+                .write();
+    }
+
+    /** Returns the endpoints that may get the request. */
+    List<EndpointLoad> candidates(boolean toNewVersion, long nowNanos) {
+        String service = call.service().name();
+        Optional<String> required = required();
+        return required.isEmpty()
+                ? state.endpointsFor(service, toNewVersion, nowNanos)
+                : state.endpoints()
+                        .accepting(
+                                service, e -> e.entry().version().equals(required.get()), nowNanos);
+    }
+
+    /** Returns whether {@code endpoint}, as it is now, may get the request. */
+    boolean allows(EndpointEntry endpoint) {
+        return required().map(v -> v.equals(endpoint.version())).orElse(true);
+    }
+
+    private Optional<String> required() {
+        if (version != null) {
+            return Optional.of(version);
+        }
+        return resumable ? streams.publishedVersion(call.request().id()) : Optional.empty();
+    }
+
+    /** Returns whether no endpoint of the version that the request must keep to is listed. */
+    boolean isVersionGone() {
+        return version != null
+                && state.endpoints().ofService(call.service().name()).stream()
+                        .noneMatch(e -> e.entry().version().equals(version));
+    }
+
+    /** Records that the request is being sent to {@code endpoint}. */
+    void recordSent(EndpointEntry endpoint) {
+        sentVersion = endpoint.version();
+        if (resumable) {
+            StreamStart start = new StreamStart(endpoint.service(), endpoint.version());
+            long keepUntil = call.callerWaitsUntilNanos() + KEEP_MARGIN_NANOS;
+            streams.recordSent(call.request().id(), start, keepUntil);
+            call.request().resumes().ifPresent(id -> streams.recordSent(id, start, keepUntil));
+        }
+    }
+
+    /** Records that the first event has arrived from the endpoint that the request was sent to. */
+    void recordBegun() {
+        if (version == null) {
+            version = sentVersion;
+        }
+    }
+}
--- a/node/src/test/java/org/carobdoor/node/gateway/ChosenEndpointLeavesTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/ChosenEndpointLeavesTest.java
@@ -21,6 +21,7 @@
 import org.carobdoor.internal.directory.NewsSource;
 import org.carobdoor.internal.duty.UsageCounts;
 import org.carobdoor.internal.request.PollClock;
+import org.carobdoor.internal.resume.StreamVersions;
 import org.carobdoor.internal.retries.RetryAllowance;
 import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
@@ -75,7 +76,8 @@
                     log,
                     random,
                     RetryBudgets.create(
-                            new RetryAllowance(0, 0, WINDOW_NANOS), random, System.nanoTime()));
+                            new RetryAllowance(0, 0, WINDOW_NANOS), random, System.nanoTime()),
+                    StreamVersions.create(true));
     private final RawEndpointStandIn chosen = endpoint();
     private final RawEndpointStandIn other = endpoint();
     private long revision = 1;
--- a/node/src/test/java/org/carobdoor/node/gateway/HeldUpLoopTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/HeldUpLoopTest.java
@@ -27,6 +27,7 @@
 import org.carobdoor.internal.directory.EndpointEntry;
 import org.carobdoor.internal.directory.NewsSource;
 import org.carobdoor.internal.duty.UsageCounts;
+import org.carobdoor.internal.resume.StreamVersions;
 import org.carobdoor.internal.retries.RetryAllowance;
 import org.carobdoor.internal.retries.RetryBudgets;
 import org.carobdoor.node.gateway.endpoint.EndpointTable;
@@ -78,7 +79,8 @@
                     log,
                     random,
                     RetryBudgets.create(
-                            new RetryAllowance(0, 0, WINDOW_NANOS), random, System.nanoTime()));
+                            new RetryAllowance(0, 0, WINDOW_NANOS), random, System.nanoTime()),
+                    StreamVersions.create(true));
     private final RawEndpointStandIn first = endpoint();
     private final RawEndpointStandIn second = endpoint();
     private CallerServer server;
