Tell callers not to repeat a take-up whose record would have appeared

Change: after a second look at the records the refusal names 60 s, so that a caller does not come back in vain. While another node may still record the stream, or the store does not answer, it is 0.4 s as before.

--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardedCall.java
@@ -52,9 +52,6 @@
     /** Retry-After if endpoints rejected a request: their queues shrink within this time. */
     private static final long REJECTED_RETRY_AFTER_MILLIS = 250;
 
-    /** Retry-After if the version that began a stream cannot be told: a record of it may follow. */
-    private static final long UNKNOWN_VERSION_RETRY_AFTER_MILLIS = 400;
-
     /** Retry-After if no endpoint has the version that began a stream any more. */
     private static final long VERSION_GONE_RETRY_AFTER_MILLIS = 60_000;
 
@@ -106,9 +103,7 @@
                 .prompt()
                 .ifPresent(p -> state.addEngineTime(service.name(), EngineTimeEstimator.millis(p)));
         toNewVersion = state.versions().selector().choosesNew(service.name(), state.random());
-        binding.determine(
-                this::selectAndSend,
-                () -> fail("unknown_version", UNKNOWN_VERSION_RETRY_AFTER_MILLIS));
+        binding.determine(this::selectAndSend, retryAfter -> fail("unknown_version", retryAfter));
     }
 
     private void failWithoutEndpoint() {
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/VersionBinding.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/VersionBinding.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.carobdoor.internal.deployment.RouteKind;
 import org.carobdoor.internal.directory.EndpointEntry;
 import org.carobdoor.internal.placement.EndpointLoad;
@@ -28,6 +29,12 @@
     /** Least time left for which a second read of the records is awaited. */
     private static final long MIN_WAIT_MILLIS = 3 * RECORD_DELAY_MILLIS;
 
+    /** Retry-After while the store does not answer, or another node may record the stream yet. */
+    private static final long SOON_MILLIS = 400;
+
+    /** Retry-After of a stream whose record would have appeared. */
+    private static final long NEVER_MILLIS = 60_000;
+
     private final CallContext call;
     private final ForwardingState state;
     private final StreamVersions streams;
@@ -56,9 +63,10 @@
      * neither task if the request has ended meanwhile.
      *
      * @param onDetermined runs when the request may be sent
-     * @param onUnknown runs if the version cannot be told, so that the request must not be sent
+     * @param onUnknown runs if the version cannot be told, so that the request must not be sent,
+     *     with the time in milliseconds after which it may be known
      */
-    void determine(Runnable onDetermined, Runnable onUnknown) {
+    void determine(Runnable onDetermined, LongConsumer onUnknown) {
         if (!isTakeUp()) {
             onDetermined.run();
             return;
@@ -70,11 +78,11 @@
         switch (decision) {
             case ResumeDecision.Only(String only) -> bind(only, "node", onDetermined);
             case ResumeDecision.AskStore a -> askStore(true, onDetermined, onUnknown);
-            case ResumeDecision.Unknown u -> refuse("node", onUnknown);
+            case ResumeDecision.Unknown u -> refuse("node", SOON_MILLIS, onUnknown);
         }
     }
 
-    private void askStore(boolean first, Runnable onDetermined, Runnable onUnknown) {
+    private void askStore(boolean first, Runnable onDetermined, LongConsumer onUnknown) {
         state.streamRecords()
                 .read(
                         stored -> {
@@ -82,14 +90,14 @@
                                 return;
                             }
                             if (stored.isEmpty()) {
-                                refuse("no_answer", onUnknown);
+                                refuse("no_answer", SOON_MILLIS, onUnknown);
                             } else if (decide(stored.get())
                                     instanceof ResumeDecision.Only(String only)) {
                                 bind(only, "store", onDetermined);
                             } else if (first && mayAppear(stored.get())) {
                                 askAgain(onDetermined, onUnknown);
                             } else {
-                                refuse("store", onUnknown);
+                                refuse("store", first ? SOON_MILLIS : NEVER_MILLIS, onUnknown);
                             }
                         });
     }
@@ -116,7 +124,7 @@
                 && call.remainingMillis(System.nanoTime()) > MIN_WAIT_MILLIS;
     }
 
-    private void askAgain(Runnable onDetermined, Runnable onUnknown) {
+    private void askAgain(Runnable onDetermined, LongConsumer onUnknown) {
         state.loop()
                 .schedule(
                         () -> askStore(false, onDetermined, onUnknown),
@@ -130,9 +138,9 @@
         onDetermined.run();
     }
 
-    private void refuse(String source, Runnable onUnknown) {
+    private void refuse(String source, long retryAfterMillis, LongConsumer onUnknown) {
         log("-", source);
-        onUnknown.run();
+        onUnknown.accept(retryAfterMillis);
     }
 
     private void log(String only, String source) {
