Soak the gateway with callers that take streams up across versions

Endpoints of a further service change their versions, also in series that overlap, while nodes are killed, stopped and paused and the store fails. Each caller checks that the events it holds of a stream are in order and of one version, and takes a broken stream up at any node with Resumes.

--- a/bench/src/main/java/org/carobdoor/bench/faults/CallerConnection.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/CallerConnection.java
@@ -19,6 +19,7 @@
 
     private final Socket socket;
     private final InputStream in;
+    private final StringBuilder chunks = new StringBuilder();
     private boolean closing;
 
     private CallerConnection(Socket socket) throws IOException {
@@ -88,7 +89,7 @@
     private String body(String head) throws IOException {
         String length = header(head, "content-length");
         if (header(head, "transfer-encoding").equals("chunked")) {
-            StringBuilder chunks = new StringBuilder();
+            chunks.setLength(0);
             for (int size = chunkSize(); size > 0; size = chunkSize()) {
                 chunks.append(readExactly(size));
                 in.skipNBytes(2);
@@ -102,6 +103,11 @@
         return new String(in.readAllBytes(), StandardCharsets.UTF_8);
     }
 
+    /** Returns the chunks that were received of the last response, which may have been cut off. */
+    String receivedChunks() {
+        return chunks.toString();
+    }
+
     private String readExactly(int length) throws IOException {
         byte[] bytes = in.readNBytes(length);
         if (bytes.length < length) {
--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewayCluster.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewayCluster.java
@@ -55,13 +55,17 @@
               {"name":"chat","host":"127.0.0.1","prefix":"/chat/","kind":"streaming",
                "timeoutMs":4000,"latencyTargetMs":600,"priority":0,"service":"llm",
                "maxAttempts":2,"sessionAffinity":true,"streamResumption":true,"gapTargetMs":500},
+              {"name":"briefs","host":"127.0.0.1","prefix":"/briefs/","kind":"streaming",
+               "timeoutMs":4000,"latencyTargetMs":600,"priority":0,"service":"brief",
+               "maxAttempts":2,"sessionAffinity":false,"streamResumption":true,"gapTargetMs":500},
               {"name":"lots","host":"127.0.0.1","prefix":"/lots/","kind":"safe",
                "timeoutMs":2000,"latencyTargetMs":300,"priority":0,"service":"auction",
                "maxAttempts":3},
               {"name":"bids","host":"127.0.0.1","prefix":"/bids/","kind":"unsafe",
                "timeoutMs":2000,"latencyTargetMs":300,"priority":0,"service":"auction",
                "maxAttempts":2}],
-             "services":[{"name":"auction","healthPath":"/health","maxConnections":400},
+             "services":[{"name":"brief","healthPath":"/health","maxConnections":400},
+              {"name":"auction","healthPath":"/health","maxConnections":400},
               {"name":"llm","healthPath":"/health","maxConnections":400,
                "engine":{"slots":32,"kvTokens":1000000,"kvBytes":100}}],
              "limits":{"headerBytes":8192,"bodyBytes":100000,"headerTimeoutMs":1000,
@@ -70,6 +74,9 @@
               "ratePerS":100000000,"burst":100000000}]}
             """;
 
+    /** The service whose endpoints differ in their versions. */
+    private static final String VERSIONED_SERVICE = "brief";
+
     /** The plain service. */
     static final String PLAIN_SERVICE = "auction";
 
@@ -105,6 +112,7 @@
     private final List<RawEndpointStandIn> engines = new ArrayList<>();
     private final AnswerLedger ledger = new AnswerLedger();
     private final List<StutteringEndpoint> endpoints = new ArrayList<>();
+    private final VersionedEndpoints versioned = new VersionedEndpoints(store, VERSIONED_SERVICE);
     private final Map<String, ChildProcess> nodes = new ConcurrentHashMap<>();
     private final Map<String, int[]> ports = new ConcurrentHashMap<>();
     private final Map<String, Boolean> run = new ConcurrentHashMap<>();
@@ -240,6 +248,11 @@
         return List.copyOf(endpoints);
     }
 
+    /** Returns the endpoints that differ in their versions. */
+    VersionedEndpoints versioned() {
+        return versioned;
+    }
+
     /** Returns what the endpoints of the plain service answered. */
     AnswerLedger ledger() {
         return ledger;
@@ -361,6 +374,7 @@
         nodes.values().forEach(ChildProcess::close);
         engines.forEach(RawEndpointStandIn::close);
         endpoints.forEach(StutteringEndpoint::close);
+        versioned.close();
         cloud.close();
         store.close();
         http.close();
--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewayFaults.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewayFaults.java
@@ -33,7 +33,8 @@
         STORE_OUTAGE,
         STORE_COMPACTION,
         CONFIGURATION,
-        ENGINES
+        ENGINES,
+        RELEASE
     }
 
     private final GatewayCluster cluster;
@@ -90,6 +91,7 @@
                         cluster.crashEngine(own.nextInt(cluster.engineCount()));
                     }
                 }
+                case RELEASE -> cluster.versioned().release(own.split());
                 default -> throw new AssertionError(kind);
             }
         } catch (IOException e) {
--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
@@ -80,6 +80,7 @@
 
     private final Violations violations = new Violations();
     private final GatewaySoakCounts counts = new GatewaySoakCounts();
+    private final ResumeCounts resumeCounts = new ResumeCounts();
     private final PlainTraffic traffic = new PlainTraffic();
 
     /** Whether the node of each deadly request was undisturbed when the request was sent. */
@@ -134,6 +135,7 @@
             }
             SplittableRandom plainRandom = new SplittableRandom(seed).split();
             List<PlainClient> callers = startPlainClients(cluster, plainRandom, threads);
+            List<ResumingClient> resuming = startResumingClients(cluster, plainRandom, threads);
             EndpointLeaves leaves =
                     EndpointLeaves.start(cluster.endpoints(), cluster.store(), plainRandom.split());
             try (leaves;
@@ -152,12 +154,14 @@
             }
             clients.forEach(GatewayClient::stop);
             callers.forEach(PlainClient::stop);
+            resuming.forEach(ResumingClient::stop);
             for (Thread t : threads) {
                 t.join();
             }
             check(cluster);
             checkPlainService(cluster);
             checkLeaves(cluster, leaves.leaves());
+            System.out.println(resumeCounts);
         }
         List<String> all = violations.all();
         Map<String, Long> byRule =
@@ -190,6 +194,18 @@
         return callers;
     }
 
+    private List<ResumingClient> startResumingClients(
+            GatewayCluster cluster, SplittableRandom random, List<Thread> threads) {
+        List<ResumingClient> all = new ArrayList<>();
+        for (String node : cluster.nodeNames()) {
+            ResumingClient c =
+                    new ResumingClient(cluster, node, violations, random.split(), resumeCounts);
+            all.add(c);
+            threads.add(Thread.ofVirtual().start(c));
+        }
+        return all;
+    }
+
     private void checkPlainService(GatewayCluster cluster) {
         AnswerLedger ledger = cluster.ledger();
         System.out.println(
