--- a/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
+++ b/bench/src/main/java/org/carobdoor/bench/faults/GatewaySoak.java
@@ -33,6 +33,7 @@
     private static final int EXIT_VIOLATION = 1;
     private static final int EXIT_USAGE = 2;
     private static final int CLIENTS_PER_NODE = 4;
+    private static final int RESUMING_CLIENTS_PER_NODE = 4;
     private static final int CRASHES_BEFORE_BOUND = 5;
     private static final int MAX_SENDS_AFTER_BOUND = 3;
 
@@ -198,10 +199,12 @@
             GatewayCluster cluster, SplittableRandom random, List<Thread> threads) {
         List<ResumingClient> all = new ArrayList<>();
         for (String node : cluster.nodeNames()) {
-            ResumingClient c =
-                    new ResumingClient(cluster, node, violations, random.split(), resumeCounts);
-            all.add(c);
-            threads.add(Thread.ofVirtual().start(c));
+            for (int i = 0; i < RESUMING_CLIENTS_PER_NODE; i++) {
+                ResumingClient c =
+                        new ResumingClient(cluster, node, violations, random.split(), resumeCounts);
+                all.add(c);
+                threads.add(Thread.ofVirtual().start(c));
+            }
         }
         return all;
     }
