Bound what a node remembers of streams, and refuse take-ups at once when the store is away

Result: StreamVersionsTest (a thousand streams, 99 of them open; fails to compile before), ResumedStreamVersionTest, HeldUpLoopTest and LeavingEndpointTest pass.

--- a/core/src/main/java/org/carobdoor/internal/resume/StreamVersions.java
+++ b/core/src/main/java/org/carobdoor/internal/resume/StreamVersions.java
@@ -145,6 +145,11 @@
                 .map(s -> s.start.version());
     }
 
+    /** Returns the number of streams that are remembered. */
+    int size() {
+        return starts.size();
+    }
+
     /** Returns whether the node has records to keep in the store. */
     public boolean isAnyMixed(long nowNanos) {
         return sightings.services().stream()
@@ -153,7 +158,6 @@
 
     /** Returns the records to write to the store now; empty if it has them. */
     public Optional<StoredStarts> takeUnpublished(long nowNanos) {
-        expire(nowNanos);
         Set<String> mixed = new HashSet<>();
         for (String s : sightings.services()) {
             if (sightings.isMixed(s, MIXED_MEMORY_NANOS, nowNanos)) {
@@ -182,7 +186,8 @@
         publishedServices = null;
     }
 
-    private void expire(long nowNanos) {
+    /** Forgets the streams whose callers no longer wait. */
+    public void expire(long nowNanos) {
         for (Iterator<Start> it = starts.values().iterator(); it.hasNext(); ) {
             if (nowNanos - it.next().keepUntilNanos > 0) {
                 it.remove();
--- a/core/src/main/java/org/carobdoor/internal/resume/VersionSightings.java
+++ b/core/src/main/java/org/carobdoor/internal/resume/VersionSightings.java
@@ -8,6 +8,8 @@
 
 /** The versions of each service that a node has seen in the directory. Not thread-safe. */
 final class VersionSightings {
+    private static final long FORGET_NANOS = 2 * StreamVersions.MIXED_MEMORY_NANOS;
+
     private static final class Service {
         private final long firstSeenNanos;
         private final Map<String, Long> lastSeenNanos = new HashMap<>();
@@ -24,6 +26,7 @@
     void record(String service, Set<String> versions, long nowNanos) {
         Service s = services.computeIfAbsent(service, n -> new Service(nowNanos));
         versions.forEach(v -> s.lastSeenNanos.put(v, nowNanos));
+        s.lastSeenNanos.values().removeIf(t -> nowNanos - t > FORGET_NANOS);
     }
 
     /** Records that another node has seen several versions of a service recently. */
--- a/core/src/test/java/org/carobdoor/internal/resume/StreamVersionsTest.java
+++ b/core/src/test/java/org/carobdoor/internal/resume/StreamVersionsTest.java
@@ -84,6 +84,16 @@
         assertThat(node.takeUnpublished(s(40))).isEmpty();
     }
 
+    @Test
+    void streamsAreForgottenWhenTheirCallersNoLongerWait() {
+        StreamVersions node = StreamVersions.create(true);
+        for (int i = 0; i < 1_000; i++) {
+            node.recordSent("r-" + i, new StreamStart("llm", "v1"), s(i));
+        }
+        node.expire(s(900.5));
+        assertThat(node.size()).isEqualTo(99);
+    }
+
     @Test
     void startThatNodesHaveRecordedDifferentlyIsUnknown() {
         StoredStarts a = new StoredStarts(Map.of("r", new StreamStart("llm", "v1")), Set.of());
@@ -133,6 +143,7 @@
                 served.forEach(v -> listed.add(v.version));
                 for (StreamVersions n : nodes) {
                     n.recordListed("llm", listed, now);
+                    n.expire(now);
                 }
                 step();
                 for (int n = 0; n < NODES; n++) {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreStreamRecords.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreStreamRecords.java
@@ -91,6 +91,7 @@
     private void tick() {
         long now = System.nanoTime();
         state.recordVersions(now);
+        state.streams().expire(now);
         if (!readers.isEmpty() && !reading && now - nextReadNanos >= 0) {
             startRead(now);
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/VersionBinding.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/VersionBinding.java
@@ -73,11 +73,16 @@
         }
         long now = System.nanoTime();
         state.recordVersions(call.service().name(), now);
-        ResumeDecision decision =
-                streams.decide(streamId(), call.service().name(), state.isDirectoryCurrent(), now);
-        switch (decision) {
+        boolean current = state.isDirectoryCurrent();
+        switch (streams.decide(streamId(), call.service().name(), current, now)) {
             case ResumeDecision.Only(String only) -> bind(only, "node", onDetermined);
-            case ResumeDecision.AskStore a -> askStore(true, onDetermined, onUnknown);
+            case ResumeDecision.AskStore a -> {
+                if (current) {
+                    askStore(true, onDetermined, onUnknown);
+                } else {
+                    refuse("no_answer", SOON_MILLIS, onUnknown);
+                }
+            }
             case ResumeDecision.Unknown u -> refuse("node", SOON_MILLIS, onUnknown);
         }
     }
--- a/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/front/CallerServer.java
@@ -121,7 +121,9 @@
             return;
         }
         if (polls.isBehind(System.nanoTime())) {
-            handleAfterTurn(exchange);
+            // A scheduled task, unlike one that is executed, always waits for the next turn.
+            listener.eventLoop()
+                    .schedule(() -> handleAfterTurn(exchange), 1, TimeUnit.MILLISECONDS);
         } else {
             requests.handle(exchange);
         }
