Register the sound endpoint first in a test of leaving endpoints

Cause: the test registers the endpoint that leaves, then the sound one. A node that is ready already is told of the first at once and of the second with its next call, up to 0.5 s later, so between them it rightly has no endpoint to send to. Usually both are there when the node reads its list.

Change: the sound endpoint is registered first; the checks are the same.

--- a/node/src/test/java/org/carobdoor/node/gateway/LeavingEndpointTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/LeavingEndpointTest.java
@@ -72,8 +72,8 @@
         String headers = LEAVING + SIGNED + (status == 503 ? NOT_EXECUTED : "");
         try (RawEndpointStandIn leaving = endpoint(status, headers, "");
                 RawEndpointStandIn sound = endpoint(200, SIGNED, "ok")) {
-            leaving.register(store, "i-1", "desk");
             sound.register(store, "i-2", "desk");
+            leaving.register(store, "i-1", "desk");
             TestGateway.await(node::isReady);
             TestGateway.await(
                     () -> {
