Let the leaving endpoint answer before the sound one is registered

No caller of the product saw anything.

Cause: registered the sound endpoint first. A node that learns of it with an earlier call of its watch than of the other one measures it in between, and a plain service goes to the endpoint with the shortest expected time: one that has not been measured counts as 20 ms, so requests that come one at a time never go to it.

Change: the endpoint that leaves is registered alone and answers first; then the sound one is registered, and the node must send it all further requests. Nothing depends on which of the two is learned first any more. The check is stricter: exactly one request, and the marked endpoint is the one that has been measured, which an unmarked choice would take.

--- a/node/src/test/java/org/carobdoor/node/gateway/LeavingEndpointTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/LeavingEndpointTest.java
@@ -72,7 +72,6 @@
         String headers = LEAVING + SIGNED + (status == 503 ? NOT_EXECUTED : "");
         try (RawEndpointStandIn leaving = endpoint(status, headers, "");
                 RawEndpointStandIn sound = endpoint(200, SIGNED, "ok")) {
-            sound.register(store, "i-2", "desk");
             leaving.register(store, "i-1", "desk");
             TestGateway.await(node::isReady);
             TestGateway.await(
@@ -80,7 +79,12 @@
                         node.get("/safe/a");
                         return !leaving.requests().isEmpty();
                     });
-            int before = leaving.requests().size();
+            sound.register(store, "i-2", "desk");
+            TestGateway.await(
+                    () -> {
+                        node.get("/safe/a");
+                        return !sound.requests().isEmpty();
+                    });
             for (int i = 0; i < REQUESTS; i++) {
                 assertThat(node.get("/safe/a").statusCode()).isEqualTo(200);
             }
@@ -90,7 +94,7 @@
             for (int i = 0; i < REQUESTS; i++) {
                 node.post("/once/b", "bid");
             }
-            assertThat(leaving.requests()).hasSize(before);
+            assertThat(leaving.requests()).hasSize(1);
         }
     }
 
