Count the age of a node's endpoint list from the store's answer

A node whose loop was held up, or whose news waited in another node or on the link, took its list of endpoints for current although it was seconds old: it did not ask its peers for changes (MirrorPeers), it decided from the list alone at which version a stream goes on (VersionBinding, ORDER), and news_ms said 0 in the log of the very requests that DRAIN is about.

Cause: the class of the two causes of the DRAIN postmortem, listed there as open: ControlLoop took the time at which a reply, or a message that proves the copy, was processed for the time at which the store gave its answer.

Change: StoreWatch.Listener.callSucceeded is told that time. For an own watch it is the earliest time at which the reply can have arrived (PollClock), for a served node the reply that the sender had (NewsFollower's proof). DirectoryFreshness in core holds it; an older proof that is read last does not take it back. The outage of the store goes on counting replies and failed calls from their reading, both alike. Also: the comment on PollClock.BEHIND_NANOS says what the constant does.

Why it works: every user of the age (staleness, logs, streams) reads this one value.

--- a/core/src/main/java/org/carobdoor/internal/request/PollClock.java
+++ b/core/src/main/java/org/carobdoor/internal/request/PollClock.java
@@ -14,7 +14,7 @@
     /** Exceeds two polls that wait for the shortest periodic task of a node. */
     public static final long ON_TIME_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    /** A request is not sent on knowledge that is older by this than its own reading. */
+    /** A request read late waits for another turn once the present one has lasted this long. */
     private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
     private int polls;
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -5,10 +5,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.carobdoor.internal.directory.DirectoryFreshness;
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.duty.ClusterClock;
 import org.carobdoor.internal.duty.ClusterUsage;
@@ -90,12 +90,10 @@
     private final StoreWatch configurationWatch;
     private final StoreWatch endpointWatch;
     private final StoreWatch nodeKeysWatch;
-    private final long directoryStaleNanos;
+    private final DirectoryFreshness freshness;
     private final EraChanges eraChanges;
     private boolean nodeListLoaded;
-    private boolean endpointWatchFailing;
     private boolean directoryStale;
-    private long endpointWatchReplyNanos = System.nanoTime();
 
     /** Creates a control loop; {@link #start} starts it. */
     public ControlLoop(
@@ -168,7 +166,7 @@
                         new ConfigurationListener());
         WatchSchedule endpointSchedule = schedule(staleLimit);
         // A watch without a reply for longer may have missed changes.
-        directoryStaleNanos = endpointSchedule.budgetNanos();
+        freshness = DirectoryFreshness.create(endpointSchedule.budgetNanos(), System.nanoTime());
         endpointWatch =
                 watch(
                         StoreKeys.ENDPOINTS_PREFIX,
@@ -334,13 +332,12 @@
     }
 
     private boolean isDirectoryStale() {
-        return endpointWatchFailing
-                || System.nanoTime() - endpointWatchReplyNanos > directoryStaleNanos;
+        return freshness.isStale(System.nanoTime());
     }
 
     /** Returns the time since the endpoints were last known to be current, in milliseconds. */
     public long endpointNewsAgeMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - endpointWatchReplyNanos);
+        return freshness.ageMillis(System.nanoTime());
     }
 
     /** Logs when the endpoints become or cease to be possibly out of date. */
@@ -350,9 +347,7 @@
             directoryStale = stale;
             log.line(stale ? "endpoints.stale" : "endpoints.current")
                     .add("revision", directory.revision())
-                    .add(
-                            "reply_age_ms",
-                            TimeUnit.NANOSECONDS.toMillis(nowNanos - endpointWatchReplyNanos))
+                    .add("reply_age_ms", freshness.ageMillis(nowNanos))
                     .write();
         }
     }
@@ -483,15 +478,15 @@
         }
 
         @Override
-        public void callSucceeded() {
-            endpointWatchFailing = false;
-            endpointWatchReplyNanos = System.nanoTime();
-            directory.recordStoreAvailable(endpointWatchReplyNanos);
+        public void callSucceeded(long provenNanos) {
+            freshness.recordProof(provenNanos);
+            // The calls that failed are counted from their reading too.
+            directory.recordStoreAvailable(System.nanoTime());
         }
 
         @Override
         public void callFailed(StoreAnswer answer) {
-            endpointWatchFailing = true;
+            freshness.recordFailure();
             checkNodeKeysWatch(answer);
             directory.recordStoreUnavailable(System.nanoTime());
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreFeed.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreFeed.java
@@ -186,7 +186,7 @@
     private void recordProof(long provenNanos, long nowNanos) {
         follower.recordProof(copy.revision(), provenNanos, nowNanos);
         if (follower.isProven(nowNanos)) {
-            listener.callSucceeded();
+            listener.callSucceeded(provenNanos);
         }
     }
 
@@ -217,9 +217,9 @@
     }
 
     @Override
-    public void callSucceeded() {
-        replyNanos = polls.earliestArrivalNanos(System.nanoTime());
-        listener.callSucceeded();
+    public void callSucceeded(long readNanos) {
+        replyNanos = polls.earliestArrivalNanos(readNanos);
+        listener.callSucceeded(replyNanos);
     }
 
     @Override
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -25,8 +25,12 @@
         /** Called with the changes up to {@code revision}. */
         void changed(List<StoreChange> changes, long revision);
 
-        /** Called after the store has answered a call of this watch. */
-        default void callSucceeded() {}
+        /**
+         * Called when the changes of the store are known up to a time.
+         *
+         * @param provenNanos when the store's answer was given, as far as the caller can tell
+         */
+        default void callSucceeded(long provenNanos) {}
 
         /** Called after a call of this watch had no answer or was rejected. */
         default void callFailed(StoreAnswer answer) {}
@@ -198,7 +202,7 @@
             storeUnavailable = false;
             log.line("store.regained").add("prefix", prefix).write();
         }
-        listener.callSucceeded();
+        listener.callSucceeded(System.nanoTime());
     }
 
     private void retry(StoreAnswer answer, Runnable retryTask) {
