Do not keep endpoints of zones that a node was cut off from (DRAIN)

Cause: a node keeps what is missing from the store after an outage for 1.6 s, since leases of running endpoints expire while the store is down for all.

Change: StoreOutage notes which zones are heard while the store fails. An entry can have lapsed only if nodes of its zone were heard for half of that time, or if there are none that could be heard. A zone that was heard without news shares the outage; one that was not may have had the store.

Open: an endpoint of the cut zone itself that left meanwhile is kept as before.

--- a/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/EndpointDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.carobdoor.AvailabilityZone;
 import org.carobdoor.EndpointId;
 import org.carobdoor.internal.store.StoreRevision;
 
@@ -180,7 +181,8 @@
                         && !outage.othersWereServed();
         if (before.entry.accepting() && lostByStore) {
             missingUntilNanos.putIfAbsent(id, nowNanos + LAPSE_GRACE_NANOS);
-        } else if (before.entry.accepting() && outage.isLapsePossible(nowNanos)) {
+        } else if (before.entry.accepting()
+                && outage.isLapsePossible(before.entry.zone(), nowNanos)) {
             missingUntilNanos.putIfAbsent(id, outage.graceEndsAtNanos());
         } else {
             removeEntry(id, new EndpointNews(source, removalRevision));
@@ -264,6 +266,11 @@
         outage.recordHeard(peerRevision, nowNanos);
     }
 
+    /** Records that a node of a zone, which may be that of this node, has sent a message. */
+    public void recordZoneHeard(AvailabilityZone zone, long nowNanos) {
+        outage.recordZoneHeard(zone, nowNanos);
+    }
+
     /**
      * Stops new requests to entries that are still missing after an outage, and later removes them.
      * Forgets endpoints that said long ago that they are leaving and are not listed.
--- a/core/src/main/java/org/carobdoor/internal/directory/StoreOutage.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/StoreOutage.java
@@ -1,6 +1,9 @@
 package org.carobdoor.internal.directory;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.carobdoor.AvailabilityZone;
 
 /**
  * Tells an outage of the store, in which leases of running endpoints can expire, from trouble of
@@ -8,7 +11,9 @@
  *
  * <p>Both look alike from the calls of this node. While the store is down no other node learns of
  * changes, so a revision of theirs that rises well before this node reaches the store shows that
- * the store serves them, and that what it tells to be missing has left. Not thread-safe.
+ * the store serves them, and that what it tells to be missing has left. A zone that this node does
+ * not hear meanwhile cannot show that it is without the store too; its endpoints count as served.
+ * Not thread-safe.
  */
 final class StoreOutage {
     /** Calls that fail for less are not an outage. */
@@ -29,7 +34,11 @@
     /** An entry expires after three heartbeats, the first of which may just have been due. */
     private static final int MIN_HEARTBEATS = 2;
 
+    /** A zone that was not heard for longer before a failure has no nodes that could tell. */
+    private static final long FORGET_ZONE_NANOS = 5_000_000_000L;
+
     private final long minSilenceNanos;
+    private final Map<AvailabilityZone, ZoneContact> contacts = new HashMap<>();
     private boolean unavailable;
     private boolean lapsePossible;
     private boolean othersServed;
@@ -60,6 +69,18 @@
             unavailable = true;
             othersServed = false;
             failingSinceNanos = nowNanos;
+            contacts.values().removeIf(c -> c.silenceNanos(nowNanos) > FORGET_ZONE_NANOS);
+            contacts.values().forEach(ZoneContact::recordFailure);
+        }
+    }
+
+    /** Records that a node of a zone, which may be that of this node, has sent a message. */
+    void recordZoneHeard(AvailabilityZone zone, long nowNanos) {
+        ZoneContact c = contacts.computeIfAbsent(zone, z -> ZoneContact.begin(nowNanos));
+        if (unavailable) {
+            c.recordHeard(failingSinceNanos, nowNanos);
+        } else {
+            c.recordHeard(nowNanos);
         }
     }
 
@@ -78,6 +99,7 @@
                             && longSilence
                             && !othersWereServed;
             graceEndsAtNanos = nowNanos + graceNanos;
+            contacts.values().forEach(c -> c.recordReply(failingSinceNanos, nowNanos));
         }
         answeredBefore = true;
         lastReplyNanos = nowNanos;
@@ -104,9 +126,17 @@
         return othersWereServed;
     }
 
-    /** Returns whether an entry that is missing now may have expired in an outage. */
-    boolean isLapsePossible(long nowNanos) {
-        return !unavailable && lapsePossible && nowNanos - graceEndsAtNanos < 0;
+    /**
+     * Returns whether an entry that is missing now may have expired in an outage.
+     *
+     * @param zone the zone of its endpoint
+     */
+    boolean isLapsePossible(AvailabilityZone zone, long nowNanos) {
+        ZoneContact contact = contacts.get(zone);
+        return !unavailable
+                && lapsePossible
+                && (contact == null || !contact.wasCutOff())
+                && nowNanos - graceEndsAtNanos < 0;
     }
 
     /** Returns when the entries that are missing after the last outage get no more requests. */
--- a/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/EndpointDirectoryTest.java
@@ -231,6 +231,60 @@
         assertThat(directory.entries()).isEmpty();
     }
 
+    /** The store fails from 1 s to 9 s; a zone is heard, except if silent within these seconds. */
+    private void hearZonesWithoutStore(double silentFrom, double silentTo, String... silent) {
+        directory.recordStoreAvailable(0);
+        for (int i = 1; i < 90; i++) {
+            long now = i * SECOND / 10;
+            if (i == 10) {
+                directory.recordStoreUnavailable(now);
+            }
+            for (String zone : List.of("a", "b")) {
+                boolean cut = now >= silentFrom * SECOND && now < silentTo * SECOND;
+                if (!cut || !List.of(silent).contains(zone)) {
+                    directory.recordZoneHeard(new AvailabilityZone(zone), now);
+                }
+            }
+        }
+        directory.recordStoreAvailable(9 * SECOND);
+    }
+
+    @Test
+    void endpointOfAZoneThatThisNodeWasCutOffFromIsDroppedAtOnce() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        hearZonesWithoutStore(0.5, 8.5, "a");
+        directory.remove(new EndpointId("i-1"), 8, WATCH, 9 * SECOND);
+        assertThat(directory.entries()).isEmpty();
+    }
+
+    @Test
+    void endpointOfTheZoneOfACutOffNodeIsKept() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        hearZonesWithoutStore(0.5, 8.5, "b");
+        directory.remove(new EndpointId("i-1"), 8, WATCH, 9 * SECOND);
+        assertThat(directory.entries()).hasSize(1);
+    }
+
+    @Test
+    void shortCutDuringAnOutageOfAllEndsNoGrace() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        hearZonesWithoutStore(3, 6, "a");
+        directory.remove(new EndpointId("i-1"), 8, WATCH, 9 * SECOND);
+        assertThat(directory.entries()).hasSize(1);
+    }
+
+    @Test
+    void endpointOfAZoneWithoutNodesIsKeptAfterAnOutage() {
+        directory.put(entry("i-1", true, 1), 5, WATCH);
+        directory.recordStoreAvailable(0);
+        directory.recordZoneHeard(new AvailabilityZone("a"), 0);
+        directory.recordStoreUnavailable(6 * SECOND);
+        directory.recordZoneHeard(new AvailabilityZone("b"), 7 * SECOND);
+        directory.recordStoreAvailable(9 * SECOND);
+        directory.remove(new EndpointId("i-1"), 8, WATCH, 9 * SECOND);
+        assertThat(directory.entries()).hasSize(1);
+    }
+
     @Test
     void endpointThatAPeerKnowsToHaveLeftIsDroppedDuringAnOutage() {
         directory.put(entry("i-1", true, 1), 5, WATCH);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -8,6 +8,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.carobdoor.AvailabilityZone;
 import org.carobdoor.internal.directory.DirectoryFreshness;
 import org.carobdoor.internal.directory.EndpointDirectory;
 import org.carobdoor.internal.duty.ClusterClock;
@@ -403,6 +404,9 @@
         String sender = message.run();
         clock.report(sender, message.timeMillis(), now);
         directory.recordRevisionOfPeer(message.directoryRevision(), now);
+        if (!message.zone().isBlank()) {
+            directory.recordZoneHeard(new AvailabilityZone(message.zone()), now);
+        }
         quarantineSync.statusReceived(message);
         if (!usable) {
             return;
