Do not answer 409 for a call whose outcome is still being reported

What callers saw: a call with an idempotency key was answered 200; its repeat at another node got 409 "idempotency key in use" and no answer.

Cause: the node that receives a call stores the answer, gives it to the caller and reports the outcome to the owner of the key in the background. A repeat at another node can reach the owner before that report; the owner takes the call for open. The window lasts as long as the report is under way, and up to 10 minutes while no owner can be reached.

Change: on the verdict "held" the node asks the holder of the claim, then the node with the copy, for the answer, for at most 0.5 s. The same for /v1/outcomes/{key}. The first call gets no slower, and nothing is sent that was not sent before: the verdict only turns from "held" to "done".

Why it works: the answer is stored before the caller can have it, so a repeat that the caller makes after the answer finds it at the holder. Left: an answer that no longer fits the store, or a holder that is gone together with the copy; then 409 as before.

Result: ClaimServiceTest loses every report; the repeat was "held" before, and is "done" now.

--- a/node/src/main/java/org/carobdoor/node/claims/ClaimService.java
+++ b/node/src/main/java/org/carobdoor/node/claims/ClaimService.java
@@ -147,6 +147,11 @@
             if (granted) {
                 active.put(token, claim);
             }
+            if (verdict instanceof ClaimVerdict.Held(var holder)) {
+                return findUnreported(key, holder, deadline)
+                        .<ClaimVerdict>map(a -> new ClaimVerdict.Done(a.status(), holder))
+                        .orElse(verdict);
+            }
             return verdict;
         } finally {
             if (!granted) {
@@ -155,6 +160,14 @@
         }
     }
 
+    /**
+     * Finds the answer of a call that the owner of its key takes for open: {@code holder} stores an
+     * answer before the caller gets it, and reports the outcome to the owner after that.
+     */
+    private Optional<StoredAnswer> findUnreported(Id128 key, String holder, Instant deadline) {
+        return answers.find(key, holder, earlier(clock.instant().plus(LOOKUP_TIMEOUT), deadline));
+    }
+
     /**
      * Checks whether the call may be sent. Must be called immediately before the first byte is
      * sent.
@@ -212,14 +225,13 @@
         ClaimLookup lookup = new ClaimLookup(ClaimKey.log(hash), hash.toBytes());
         Failure last = unavailable("the deadline passed before an owner was queried");
         for (int candidate = 0; clock.instant().isBefore(deadline) && candidate < 4; candidate++) {
-            Instant timeout = clock.instant().plus(LOOKUP_TIMEOUT);
-            Instant until = timeout.isBefore(deadline) ? timeout : deadline;
+            Instant until = earlier(clock.instant().plus(LOOKUP_TIMEOUT), deadline);
             switch (owners.ask(lookup.log(), candidate, lookup, until)) {
                 case Result.Err<ClaimReply>(var failure) -> last = failure;
                 case Result.Ok<ClaimReply>(var reply) -> {
                     Optional<KeyOutcome> outcome = outcome(reply);
                     if (outcome.isPresent()) {
-                        return Result.ok(outcome.get());
+                        return Result.ok(withUnreported(hash, outcome.get(), deadline));
                     }
                     last = unavailable("the owner replied " + reply.outcome());
                 }
@@ -228,6 +240,15 @@
         return Result.err(last);
     }
 
+    private KeyOutcome withUnreported(Id128 key, KeyOutcome recorded, Instant deadline) {
+        if (recorded instanceof KeyOutcome.Open(var holder)) {
+            return findUnreported(key, holder, deadline)
+                    .<KeyOutcome>map(a -> new KeyOutcome.Done(a.status(), holder))
+                    .orElse(recorded);
+        }
+        return recorded;
+    }
+
     private static Optional<KeyOutcome> outcome(ClaimReply reply) {
         return switch (reply.outcome()) {
             case DONE -> Optional.of(new KeyOutcome.Done(reply.status(), reply.holder()));
@@ -284,6 +305,10 @@
                 });
     }
 
+    private static Instant earlier(Instant a, Instant b) {
+        return a.isBefore(b) ? a : b;
+    }
+
     private static Failure unavailable(String detail) {
         return new Failure(FailureKind.NOT_DONE, "claims.outcome", "owner", detail);
     }
--- a/node/src/test/java/org/carobdoor/node/claims/ClaimServiceTest.java
+++ b/node/src/test/java/org/carobdoor/node/claims/ClaimServiceTest.java
@@ -20,6 +20,7 @@
 import org.carobdoor.internal.catalogue.EntryObjective;
 import org.carobdoor.internal.claims.ClaimVerdict;
 import org.carobdoor.internal.claims.Id128;
+import org.carobdoor.message.ClaimUpdate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -72,7 +73,7 @@
         done("node-0", "k");
 
         for (String node : List.of("node-1", "node-2")) {
-            ClaimVerdict repeat = repeatUntilDone(node, "k");
+            ClaimVerdict repeat = claim(node, "k");
             assertThat(repeat).isInstanceOf(ClaimVerdict.Done.class);
             ClaimVerdict.Done done = (ClaimVerdict.Done) repeat;
             assertThat(done.status()).isEqualTo(201);
@@ -81,6 +82,32 @@
         }
     }
 
+    @Test
+    void answeredCallIsNotTakenForOpenBeforeItsOutcomeIsReported() throws Exception {
+        cluster.lost.add(ClaimUpdate.class);
+        for (int i = 0; i < 20; i++) {
+            String k = "k" + i;
+            done("node-0", k);
+
+            assertThat(claim("node-1", k)).isInstanceOf(ClaimVerdict.Done.class);
+            Result<KeyOutcome> outcome =
+                    cluster.node("node-1").outcome(ACCOUNT, "bids", key(k), soon());
+            assertThat(outcome.orElseThrow()).isInstanceOf(KeyOutcome.Done.class);
+        }
+    }
+
+    @Test
+    void repeatIsNotDelayedUntilItsDeadlineByAStalledHolderOfTheClaim() throws Exception {
+        granted("node-0", "k");
+        cluster.stalled.add(new NodeId("node-0"));
+        Instant deadline = Instant.now().plusSeconds(4);
+
+        ClaimVerdict verdict = cluster.node("node-1").claim(ACCOUNT, ENTRY, key("k"), deadline);
+
+        assertThat(verdict).isEqualTo(new ClaimVerdict.Held("node-0"));
+        assertThat(Instant.now()).isLessThan(deadline.minusSeconds(2));
+    }
+
     @Test
     void answerOutlivesTheNodeThatReceivedTheCall() throws Exception {
         done("node-0", "k");
@@ -163,16 +190,6 @@
         cluster.node(node).markDone(token, ANSWER);
     }
 
-    /** Retries because the outcome is reported in the background. */
-    private ClaimVerdict repeatUntilDone(String node, String key) throws InterruptedException {
-        Instant end = soon();
-        ClaimVerdict verdict = claim(node, key);
-        while (!(verdict instanceof ClaimVerdict.Done) && Instant.now().isBefore(end)) {
-            verdict = claim(node, key);
-        }
-        return verdict;
-    }
-
     private Id128 granted(String node, String key) throws InterruptedException {
         ClaimVerdict verdict = claim(node, key);
         assertThat(verdict).isInstanceOf(ClaimVerdict.Granted.class);
--- a/node/src/test/java/org/carobdoor/node/claims/TestCluster.java
+++ b/node/src/test/java/org/carobdoor/node/claims/TestCluster.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BiFunction;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.FailureKind;
@@ -35,6 +36,12 @@
     /** Nodes that do not respond to any peer. */
     final Set<NodeId> silent = ConcurrentHashMap.newKeySet();
 
+    /** Nodes whose callers wait for a reply until their deadline. */
+    final Set<NodeId> stalled = ConcurrentHashMap.newKeySet();
+
+    /** Types of the messages that are lost between nodes. */
+    final Set<Class<? extends PeerMessage>> lost = ConcurrentHashMap.newKeySet();
+
     /** Nodes that the others regard as dead. */
     final Set<NodeId> dead = ConcurrentHashMap.newKeySet();
 
@@ -93,6 +100,10 @@
             @Override
             public Result<PeerMessage> call(
                     NodeId peer, PeerMessage message, java.time.Instant deadline) {
+                if (stalled.contains(peer)) {
+                    LockSupport.parkUntil(deadline.toEpochMilli());
+                    return Result.err(FailureKind.UNKNOWN, "call", peer.value(), "no reply");
+                }
                 PeerMessage reply = silent.contains(peer) ? null : deliver(self, peer, message);
                 return reply == null
                         ? Result.err(FailureKind.UNKNOWN, "call", peer.value(), "no reply")
@@ -115,6 +126,9 @@
     }
 
     private @Nullable PeerMessage deliver(NodeId from, NodeId to, PeerMessage message) {
+        if (lost.contains(message.getClass())) {
+            return null;
+        }
         var handler = handlers.getOrDefault(to, Map.of()).get(message.getClass());
         return handler == null ? null : handler.apply(from, message);
     }
