Call a store that was down again within the stale limit (DRAIN, CONFIG)

What callers would see: for up to 0.4 s after a node counts as in touch again (4 s after a silent outage of the store at it), requests sent to endpoints that had left, or by a configuration that was replaced.

Cause: a watch call that begins right before a silent store returns is never answered. It was given up after the whole budget of a call (3.6 s of 4), as after a reply, and the next one came up to 0.8 s later.

Change: after a failure calls wait for 0.2 s at most until the store has replied, and the growing delay before the next call is bounded by what the limit leaves. Both are in WatchSchedule; StoreWatch only follows.

Why it works: the call that spans the return ends within 1.4 s instead of 3.6 s, for every limit with the delay below it.

Tests: WatchScheduleTest plays 12,000 returns; without the change the next call comes up to 3,975 ms after the return with a limit of 4,000, and all six limits fail. callAfterAFailureWaitsAsLongAsAfterAReply demanded the fault, a full wait after a failure; in its place are that test, one that a reply ends the short calls, and one that bounds the calls in an outage.

--- a/core/src/test/java/org/carobdoor/internal/store/WatchScheduleTest.java
+++ b/core/src/test/java/org/carobdoor/internal/store/WatchScheduleTest.java
@@ -36,7 +36,7 @@
                             .isAtMost(limit.toNanos());
                     break;
                 }
-                schedule.restart(reply);
+                schedule.recordReply(reply);
                 // The delay that batches changes before the next call.
                 now = reply + random.nextLong(500) * MILLI;
             }
@@ -58,11 +58,48 @@
         assertThat(call.giveUpNanos() - call.waitMillis() * MILLI).isAtLeast(1_000 * MILLI);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1_300, 2_000, 3_000, 4_000, 5_000, 9_000})
+    void changesArriveWithinTheLimitAfterTheStoreReturnsAtAnyMoment(int limitMillis) {
+        Duration limit = Duration.ofMillis(limitMillis);
+        SplittableRandom random = new SplittableRandom(limitMillis);
+        for (int run = 0; run < 2_000; run++) {
+            boolean refuses = random.nextInt(4) == 0;
+            long now = random.nextLong(1L << 40);
+            WatchSchedule schedule = WatchSchedule.create(limit, now);
+            schedule.recordReply(now);
+            long returnsAt = now + random.nextLong(30_000 * MILLI);
+            while (now < returnsAt) {
+                WatchSchedule.Call call = schedule.next(now);
+                now = schedule.recordFailure(refuses ? now + 5 * MILLI : call.giveUpNanos());
+            }
+            assertWithMessage("next call, in ms after the return")
+                    .that((now - returnsAt) / MILLI)
+                    .isAtMost(limitMillis - RETRY_NANOS / MILLI);
+        }
+    }
+
+    @Test
+    void callsAreRareDuringAnOutage() {
+        for (boolean refuses : new boolean[] {false, true}) {
+            WatchSchedule schedule = WatchSchedule.create(Duration.ofSeconds(4), 0);
+            int calls = 0;
+            long now = 0;
+            while (now < 30_000 * MILLI) {
+                WatchSchedule.Call call = schedule.next(now);
+                now = schedule.recordFailure(refuses ? now + 5 * MILLI : call.giveUpNanos());
+                calls++;
+            }
+            assertThat(calls).isAtMost(refuses ? 41 : 16);
+        }
+    }
+
     @Test
-    void callAfterAFailureWaitsAsLongAsAfterAReply() {
+    void callsWaitLongAgainAfterAReply() {
         WatchSchedule schedule = WatchSchedule.create(Duration.ofSeconds(3), 0);
-        long now = schedule.next(0).giveUpNanos();
-        schedule.restart(now);
+        long now = schedule.recordFailure(schedule.next(0).giveUpNanos());
+        assertThat(schedule.next(now).waitMillis()).isAtMost(200);
+        schedule.recordReply(now);
         assertThat(schedule.next(now).giveUpNanos() - now).isEqualTo(schedule.budgetNanos());
     }
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -36,9 +36,6 @@
         default void callFailed(StoreAnswer answer) {}
     }
 
-    private static final long MIN_RETRY_DELAY_MILLIS = 100;
-    private static final long MAX_RETRY_DELAY_MILLIS = 800;
-
     private final EventLoop loop;
     private final StoreClient store;
     private final String prefix;
@@ -46,7 +43,6 @@
     private final LongSupplier batchDelayMillis;
     private final Listener listener;
     private final DecisionLog log;
-    private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
     private boolean storeUnavailable;
     private boolean replyPending;
     private boolean paused;
@@ -196,8 +192,7 @@
     }
 
     private void handleSuccess() {
-        retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
-        schedule.restart(System.nanoTime());
+        schedule.recordReply(System.nanoTime());
         if (storeUnavailable) {
             storeUnavailable = false;
             log.line("store.regained").add("prefix", prefix).write();
@@ -214,10 +209,9 @@
                     .add("answer", '"' + answer.toString() + '"')
                     .write();
         }
-        schedule.restart(System.nanoTime());
         listener.callFailed(answer);
-        callLater(retryTask, retryDelayMillis);
-        retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
+        long now = System.nanoTime();
+        callLater(retryTask, TimeUnit.NANOSECONDS.toMillis(schedule.recordFailure(now) - now));
     }
 
     /** Runs {@code task} after the delay, unless the watch was paused in the meantime. */
