Let nodes with fast links forward the statuses of others (DRAIN)

The node is a relay with a link of 7 Mbit/s, in a zone with two nodes of 140.

Cause: relays were ranked by name alone. After a start of all nodes such a relay sends 0.27 to 0.34 MB a second of the 0.875 that its link carries, so requests, answers and calls of the store of a busy node share what is left. That this alone delayed the users' request is not shown.

Change: each run registers the bandwidth of its link, which the platform states, in a key of its own before its entry, so older releases do not see it. What relays send is divided in proportion to their links.

Why it works: a link of 140 Mbit/s carries in two hundredths of its capacity what takes a third of one of 7.

--- a/core/src/main/java/org/carobdoor/internal/peers/RelayShares.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/RelayShares.java
@@ -13,7 +13,8 @@
 /**
  * Divides receivers among the relays of a zone, each to the relays that rank first for it and have
  * not got their share yet. Ranks alone would give some relays several times as many as others, and
- * a relay sends statuses of the whole cluster to each.
+ * a relay sends statuses of the whole cluster to each. Shares are proportional to the bandwidth of
+ * the relays' links.
  *
  * <p>Source of the bounded shares: Mirrokni, Thorup and Zadimoghaddam, "Consistent hashing with
  * bounded loads", 2018.
@@ -28,20 +29,23 @@
      * @param copies the number of relays that serve each receiver
      */
     static Set<String> of(
-            String ownRun, List<String> relays, Collection<String> receivers, int copies) {
-        int perRelay = -Math.floorDiv(-receivers.size() * copies, Math.max(1, relays.size()));
+            String ownRun, List<RelayPlan.Peer> relays, Collection<String> receivers, int copies) {
+        long bandwidth = relays.stream().mapToLong(RelayShares::weight).sum();
+        long sends = (long) receivers.size() * copies;
         Map<String, Integer> counts = new HashMap<>();
         Set<String> own = new LinkedHashSet<>();
         for (String receiver : Rendezvous.rank("receiver", receivers, NodeStatus::nodeOf)) {
             Set<String> servers = new HashSet<>();
-            List<String> ranked =
-                    Rendezvous.rank(NodeStatus.nodeOf(receiver), relays, NodeStatus::nodeOf);
+            List<RelayPlan.Peer> ranked =
+                    Rendezvous.rank(
+                            NodeStatus.nodeOf(receiver), relays, r -> NodeStatus.nodeOf(r.run()));
             for (boolean bounded : new boolean[] {true, false}) {
-                for (String relay : ranked) {
-                    int count = counts.getOrDefault(relay, 0);
-                    boolean open = !bounded || count < perRelay;
-                    if (servers.size() < copies && open && servers.add(relay)) {
-                        counts.put(relay, count + 1);
+                for (RelayPlan.Peer relay : ranked) {
+                    int count = counts.getOrDefault(relay.run(), 0);
+                    long share = Math.ceilDiv(sends * weight(relay), bandwidth);
+                    boolean open = !bounded || count < share;
+                    if (servers.size() < copies && open && servers.add(relay.run())) {
+                        counts.put(relay.run(), count + 1);
                     }
                 }
             }
@@ -51,4 +55,9 @@
         }
         return own;
     }
+
+    /** Returns the bandwidth of a relay's link, or the least one if it is not known. */
+    private static int weight(RelayPlan.Peer relay) {
+        return Math.max(1, relay.linkMbps());
+    }
 }
--- a/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
@@ -64,6 +64,7 @@
     private final List<Held> zoneStatuses = new ArrayList<>();
     private final List<Held> remoteStatuses = new ArrayList<>();
     private final StatusChanges changes = new StatusChanges();
+    private final Map<String, Integer> links = new HashMap<>();
     private final String ownRun;
     private final AvailabilityZone ownZone;
     private long servedNanos;
@@ -92,6 +93,20 @@
         }
     }
 
+    /**
+     * Sets the bandwidth of the link of a run, which may be this one or one that is not added yet.
+     *
+     * @param linkMbps the bandwidth in Mbit/s
+     */
+    public void setLink(String run, int linkMbps) {
+        links.put(run, linkMbps);
+    }
+
+    /** Forgets the bandwidth of the link of a run. */
+    public void removeLink(String run) {
+        links.remove(run);
+    }
+
     /** Removes a run that has ended. */
     public void remove(String run) {
         peers.remove(run);
@@ -108,15 +123,19 @@
      * @param silent the runs from which nothing was heard recently
      */
     public StoreReaderPlan storeReaders(Set<String> silent) {
-        return StoreReaderPlan.of(ownRun, ownZone, plannedPeers(), silent);
+        return StoreReaderPlan.of(plannedPeer(ownRun, ownZone), plannedPeers(), silent);
     }
 
     private List<RelayPlan.Peer> plannedPeers() {
         List<RelayPlan.Peer> planned = new ArrayList<>();
-        peers.forEach((run, p) -> planned.add(new RelayPlan.Peer(run, p.zone)));
+        peers.forEach((run, p) -> planned.add(plannedPeer(run, p.zone)));
         return planned;
     }
 
+    private RelayPlan.Peer plannedPeer(String run, @Nullable AvailabilityZone zone) {
+        return new RelayPlan.Peer(run, zone, links.getOrDefault(run, 0));
+    }
+
     /** Returns the interval between two calls of {@link #next}. */
     public long intervalNanos() {
         return StatusInterval.sendNanos(peers.size() + 1);
@@ -136,7 +155,7 @@
             NodeStatus status = changes.next(own, nodesStart, false, false);
             return peers.keySet().stream().map(run -> new Outgoing(run, status)).toList();
         }
-        RelayPlan plan = RelayPlan.of(ownRun, ownZone, plannedPeers());
+        RelayPlan plan = RelayPlan.of(plannedPeer(ownRun, ownZone), plannedPeers());
         relay = plan.relay();
         boolean unserved = nowNanos - servedNanos > (long) (intervalNanos() * SILENT_INTERVALS);
         NodeStatus status = changes.next(own, nodesStart, true, unserved);
--- a/core/src/main/java/org/carobdoor/internal/peers/StoreReaderPlan.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StoreReaderPlan.java
@@ -1,10 +1,12 @@
 package org.carobdoor.internal.peers;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import org.carobdoor.AvailabilityZone;
+import org.carobdoor.internal.Preconditions;
 import org.carobdoor.internal.Rendezvous;
 import org.carobdoor.message.NodeStatus;
 
@@ -39,55 +41,55 @@
     }
 
     /**
-     * Returns the plan of a node.
+     * Returns the plan of a node in a large cluster.
      *
-     * @param others the runs of other nodes of its zone
+     * @param others the other nodes of its zone
      * @param silent the runs from which nothing was heard recently
      */
-    static StoreReaderPlan of(String ownRun, Collection<String> others, Set<String> silent) {
-        Set<String> candidates = new LinkedHashSet<>(others);
-        candidates.removeAll(silent);
-        candidates.add(ownRun);
-        Set<String> zoneRuns = new LinkedHashSet<>(others);
-        zoneRuns.add(ownRun);
-        Set<String> unloaded = new LinkedHashSet<>(candidates);
-        RelayPlan.relaysOf(zoneRuns).forEach(unloaded::remove);
+    static StoreReaderPlan inZone(
+            RelayPlan.Peer own, Collection<RelayPlan.Peer> others, Set<String> silent) {
+        String ownRun = own.run();
+        Set<RelayPlan.Peer> zonePeers = new LinkedHashSet<>(others);
+        zonePeers.add(own);
+        List<RelayPlan.Peer> candidates =
+                zonePeers.stream()
+                        .filter(p -> p.run().equals(ownRun) || !silent.contains(p.run()))
+                        .toList();
+        List<RelayPlan.Peer> unloaded = new ArrayList<>(candidates);
+        unloaded.removeAll(RelayPlan.relaysOf(zonePeers));
         if (unloaded.size() >= READERS_PER_ZONE) {
             // Relays send the most already.
             candidates = unloaded;
         }
         // Ranked by name, so that a node that restarts keeps its place.
-        List<String> readers =
-                Rendezvous.rank("store", candidates, NodeStatus::nodeOf).stream()
+        List<RelayPlan.Peer> readers =
+                Rendezvous.rank("store", candidates, p -> NodeStatus.nodeOf(p.run())).stream()
                         .limit(READERS_PER_ZONE)
                         .toList();
-        if (!readers.contains(ownRun)) {
+        if (!readers.contains(own)) {
             return new StoreReaderPlan(true, false, Set.of(), Set.of());
         }
-        Set<String> receivers = new LinkedHashSet<>(others);
-        receivers.remove(ownRun);
-        receivers.removeAll(readers);
-        Set<String> served = RelayShares.of(ownRun, readers, receivers, 1);
-        Set<String> informed = new LinkedHashSet<>(others);
+        Set<String> informed = new LinkedHashSet<>();
+        others.forEach(p -> informed.add(p.run()));
         informed.remove(ownRun);
+        Set<String> receivers = new LinkedHashSet<>(informed);
+        readers.forEach(r -> receivers.remove(r.run()));
+        Set<String> served = RelayShares.of(ownRun, readers, receivers, 1);
         informed.removeAll(served);
         return new StoreReaderPlan(true, true, served, informed);
     }
 
-    /** Returns the plan of a node that knows the zones of the other runs. */
+    /**
+     * Returns the plan of a node that knows the zones of the other runs.
+     *
+     * @param own the node, whose zone is known
+     */
     static StoreReaderPlan of(
-            String ownRun,
-            AvailabilityZone ownZone,
-            Collection<RelayPlan.Peer> others,
-            Set<String> silent) {
+            RelayPlan.Peer own, Collection<RelayPlan.Peer> others, Set<String> silent) {
         if (!StatusInterval.isRelayed(others.size() + 1)) {
             return NONE;
         }
-        List<String> zoneRuns =
-                others.stream()
-                        .filter(p -> ownZone.equals(p.zone()))
-                        .map(RelayPlan.Peer::run)
-                        .toList();
-        return of(ownRun, zoneRuns, silent);
+        AvailabilityZone zone = Preconditions.checkPresent(own.zone(), "own zone");
+        return inZone(own, others.stream().filter(p -> zone.equals(p.zone())).toList(), silent);
     }
 }
--- a/core/src/test/java/org/carobdoor/internal/peers/RelaySharesTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/RelaySharesTest.java
@@ -21,14 +21,23 @@
         return runs;
     }
 
+    private static List<RelayPlan.Peer> relays(int... links) {
+        List<RelayPlan.Peer> relays = new ArrayList<>();
+        for (int i = 0; i < links.length; i++) {
+            relays.add(new RelayPlan.Peer(NodeStatus.runOf("relay-" + i, 1), null, links[i]));
+        }
+        return relays;
+    }
+
     @ParameterizedTest
     @CsvSource({"15, 3, 1", "9, 3, 2", "46, 7, 1", "42, 7, 2", "2, 3, 1", "0, 3, 2"})
     void eachReceiverIsServedAndNoRelayServesMoreThanItsShare(
             int receivers, int relays, int copies) {
-        List<String> relayRuns = runs("relay-", relays);
+        List<RelayPlan.Peer> relayPeers = relays(new int[relays]);
         Map<String, Integer> servers = new HashMap<>();
-        for (String relay : relayRuns) {
-            Set<String> own = RelayShares.of(relay, relayRuns, runs("front-", receivers), copies);
+        for (RelayPlan.Peer relay : relayPeers) {
+            Set<String> own =
+                    RelayShares.of(relay.run(), relayPeers, runs("front-", receivers), copies);
             int share = (receivers * copies + relays - 1) / relays;
             // The last receivers may find only relays that serve them already below their share.
             assertThat(own.size()).isAtMost(share + copies - 1);
@@ -41,13 +50,30 @@
     @ParameterizedTest
     @CsvSource({"15, 3", "46, 7"})
     void fewNodesMoveWhenOneJoins(int receivers, int relays) {
-        List<String> relayRuns = runs("relay-", relays);
+        List<RelayPlan.Peer> relayPeers = relays(new int[relays]);
         int moved = 0;
-        for (String relay : relayRuns) {
-            Set<String> before = RelayShares.of(relay, relayRuns, runs("front-", receivers), 1);
-            Set<String> after = RelayShares.of(relay, relayRuns, runs("front-", receivers + 1), 1);
+        for (RelayPlan.Peer relay : relayPeers) {
+            Set<String> before =
+                    RelayShares.of(relay.run(), relayPeers, runs("front-", receivers), 1);
+            Set<String> after =
+                    RelayShares.of(relay.run(), relayPeers, runs("front-", receivers + 1), 1);
             moved += (int) before.stream().filter(r -> !after.contains(r)).count();
         }
         assertThat(moved).isAtMost(receivers / 3);
     }
+
+    @ParameterizedTest
+    @CsvSource({"15, 1", "9, 2", "60, 1", "36, 2"})
+    void sharesFollowTheLinks(int receivers, int copies) {
+        List<RelayPlan.Peer> relayPeers = relays(140, 7, 140);
+        Map<String, Integer> shares = new HashMap<>();
+        for (RelayPlan.Peer relay : relayPeers) {
+            Set<String> own =
+                    RelayShares.of(relay.run(), relayPeers, runs("front-", receivers), copies);
+            shares.put(relay.run(), own.size());
+        }
+        int sends = receivers * copies;
+        assertThat(shares.values().stream().mapToInt(s -> s).sum()).isEqualTo(sends);
+        assertThat(shares.get(relayPeers.get(1).run())).isAtMost(1 + sends * 7 / 287);
+    }
 }
--- a/core/src/test/java/org/carobdoor/internal/peers/StoreReaderPlanTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/StoreReaderPlanTest.java
@@ -22,13 +22,25 @@
         return runs;
     }
 
+    private static RelayPlan.Peer peer(String run) {
+        return new RelayPlan.Peer(run, ZONE, 0);
+    }
+
+    private static List<RelayPlan.Peer> peers(List<String> runs) {
+        return runs.stream().map(StoreReaderPlanTest::peer).toList();
+    }
+
+    private static StoreReaderPlan plan(String run, List<String> others, Set<String> silent) {
+        return StoreReaderPlan.inZone(peer(run), peers(others), silent);
+    }
+
     private static void assertServed(List<String> live, Set<String> silent) {
         List<String> all = new ArrayList<>(live);
         all.addAll(silent);
         int readers = 0;
         List<String> served = new ArrayList<>();
         for (String run : live) {
-            StoreReaderPlan plan = StoreReaderPlan.of(run, all, silent);
+            StoreReaderPlan plan = plan(run, all, silent);
             readers += plan.reader() ? 1 : 0;
             served.addAll(plan.served());
             if (plan.reader()) {
@@ -36,7 +48,7 @@
                 told.addAll(plan.informed());
                 assertThat(told).hasSize(all.size() - 1);
                 if (live.size() > 9) {
-                    assertThat(RelayPlan.relaysOf(Set.copyOf(all))).doesNotContain(run);
+                    assertThat(RelayPlan.relaysOf(peers(all))).doesNotContain(peer(run));
                 }
                 assertThat(plan.served().size()).isAtMost((all.size() + 1) / 2);
             }
@@ -58,7 +70,7 @@
         List<String> live = new ArrayList<>(runs(44));
         Set<String> silent = new HashSet<>();
         for (String run : runs(44)) {
-            if (StoreReaderPlan.of(run, runs(44), Set.of()).reader()) {
+            if (plan(run, runs(44), Set.of()).reader()) {
                 live.remove(run);
                 silent.add(run);
             }
@@ -69,10 +81,9 @@
 
     @Test
     void smallClustersHaveNoReaders() {
-        List<RelayPlan.Peer> others = new ArrayList<>();
-        runs(24).forEach(r -> others.add(new RelayPlan.Peer(r, ZONE)));
-        assertThat(StoreReaderPlan.of("own@1", ZONE, others, Set.of()).relayed()).isTrue();
-        assertThat(StoreReaderPlan.of("own@1", ZONE, others.subList(1, 24), Set.of()))
+        List<RelayPlan.Peer> others = peers(runs(24));
+        assertThat(StoreReaderPlan.of(peer("own@1"), others, Set.of()).relayed()).isTrue();
+        assertThat(StoreReaderPlan.of(peer("own@1"), others.subList(1, 24), Set.of()))
                 .isEqualTo(StoreReaderPlan.NONE);
     }
 }
--- a/core/src/test/java/org/carobdoor/internal/peers/StoreReadersTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/StoreReadersTest.java
@@ -197,17 +197,17 @@
         private void tick() {
             later(100, this::tick);
             if (ticks++ % 10 == 0) {
-                Set<String> others = new HashSet<>();
+                Set<RelayPlan.Peer> others = new HashSet<>();
                 Set<String> silent = new HashSet<>();
                 for (Node n : cluster.nodes.values()) {
                     if (n != this && n.zone == zone) {
-                        others.add(n.run);
+                        others.add(new RelayPlan.Peer(n.run, null, 0));
                         if (n.dead) {
                             silent.add(n.run);
                         }
                     }
                 }
-                plan = StoreReaderPlan.of(run, others, silent);
+                plan = StoreReaderPlan.inZone(new RelayPlan.Peer(run, null, 0), others, silent);
                 follower.assign(true, plan.reader());
             }
             WatchMode before = follower.mode();
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -130,7 +130,7 @@
                         network,
                         mirror,
                         new PeerAddress(run, settings.peer(), settings.zone()),
-                        settings.zone(),
+                        settings.linkMbps(),
                         this::ownStatus,
                         this::isDirectoryStale,
                         NodeCensus.create(settings.firstStart()),
--- a/node/src/main/java/org/carobdoor/node/gateway/control/NodeKeysListener.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/NodeKeysListener.java
@@ -79,6 +79,10 @@
             String peerRun = item.key().substring(NodeStoreKeys.NODES_PREFIX.length());
             PeerAddress.decode(peerRun, item.value())
                     .ifPresent(p -> peers.peerListed(p, item.revision()));
+        } else if (item.key().startsWith(NodeStoreKeys.LINKS_PREFIX)) {
+            peers.linkListed(
+                    item.key().substring(NodeStoreKeys.LINKS_PREFIX.length()),
+                    item.value().toUtf8());
         } else if (item.key().startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
             quarantineSync.keyWritten(item);
         } else if (item.key().startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
@@ -91,6 +95,8 @@
     private void keyMissing(String key, long revision) {
         if (key.startsWith(NodeStoreKeys.NODES_PREFIX)) {
             peers.peerUnlisted(key.substring(NodeStoreKeys.NODES_PREFIX.length()));
+        } else if (key.startsWith(NodeStoreKeys.LINKS_PREFIX)) {
+            peers.linkUnlisted(key.substring(NodeStoreKeys.LINKS_PREFIX.length()));
         } else if (key.startsWith(NodeStoreKeys.QUARANTINE_PREFIX)) {
             quarantineSync.keyDeleted(key, revision);
         } else if (key.startsWith(NodeStoreKeys.ROLLOUTS_PREFIX)) {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/NodeStoreKeys.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/NodeStoreKeys.java
@@ -8,6 +8,12 @@
     /** Prefix of the keys under which the runs of nodes are registered, each bound to a lease. */
     static final String NODES_PREFIX = PREFIX + "nodes/";
 
+    /**
+     * Prefix of the keys of the links of runs, each bound to the lease of the run; the value is the
+     * bandwidth in Mbit/s.
+     */
+    static final String LINKS_PREFIX = PREFIX + "links/";
+
     /** Prefix of the keys of quarantined request patterns. */
     static final String QUARANTINE_PREFIX = PREFIX + "quarantine/";
 
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -14,7 +14,9 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.carobdoor.AvailabilityZone;
+import org.carobdoor.Bytes;
 import org.carobdoor.NodeId;
+import org.carobdoor.internal.Preconditions;
 import org.carobdoor.internal.peers.MirrorPeers;
 import org.carobdoor.internal.peers.NodeCensus;
 import org.carobdoor.internal.peers.PeerRuns;
@@ -92,6 +94,7 @@
     private final StatusExchange exchange;
     private final MirrorPeers mirrorPeers = MirrorPeers.create(RandomGenerator.getDefault());
     private final AvailabilityZone ownZone;
+    private final int linkMbps;
     private final Supplier<NodeStatus> ownStatus;
     private final BooleanSupplier directoryStale;
     private long statusMessages;
@@ -104,13 +107,19 @@
     /** Counts the registrations, each of which replaces the renewals of the previous one. */
     private long registration;
 
+    /**
+     * Creates a registry that knows no other node.
+     *
+     * @param self the address of this node, with its zone
+     * @param linkMbps the bandwidth of the link of this node, in Mbit/s; 0 if it is not known
+     */
     PeerRegistry(
             EventLoop loop,
             StoreClient store,
             TcpPeerNetwork network,
             LocalStoreMirror mirror,
             PeerAddress self,
-            AvailabilityZone ownZone,
+            int linkMbps,
             Supplier<NodeStatus> status,
             BooleanSupplier directoryStale,
             NodeCensus census,
@@ -121,10 +130,12 @@
         this.network = network;
         this.mirror = mirror;
         this.self = self;
-        this.ownZone = ownZone;
+        this.ownZone = Preconditions.checkPresent(self.zone(), "own zone");
+        this.linkMbps = linkMbps;
         this.run = self.run();
         this.peerRuns = PeerRuns.create(run);
         this.exchange = StatusExchange.create(run, ownZone, System.nanoTime());
+        exchange.setLink(run, linkMbps);
         this.ownStatus = status;
         this.directoryStale = directoryStale;
         this.census = census;
@@ -233,6 +244,20 @@
         }
     }
 
+    /** Records that the store lists the link of a run. */
+    void linkListed(String linkRun, String mbps) {
+        if (mbps.matches("[0-9]{1,7}")) {
+            exchange.setLink(linkRun, Integer.parseInt(mbps));
+        }
+    }
+
+    /** Records that the store no longer lists the link of a run. */
+    void linkUnlisted(String linkRun) {
+        if (!linkRun.equals(run)) {
+            exchange.removeLink(linkRun);
+        }
+    }
+
     /** Records that the store no longer lists a run. */
     void peerUnlisted(String peerRun) {
         if (peerRun.equals(run)) {
@@ -362,13 +387,35 @@
                     }
                     if (answer instanceof StoreAnswer.LeaseGranted(long newLease, long ttl)) {
                         lease = newLease;
-                        writeEntry();
+                        writeLink();
                     } else {
                         schedule(this::register, RETRY_DELAY_MILLIS);
                     }
                 });
     }
 
+    /**
+     * Writes the link before the entry, so that the others know it when they list this run. They
+     * can do without it.
+     */
+    private void writeLink() {
+        if (linkMbps == 0) {
+            writeEntry();
+            return;
+        }
+        long number = registration;
+        store.write(
+                Map.of(),
+                NodeStoreKeys.LINKS_PREFIX + run,
+                Bytes.utf8(Integer.toString(linkMbps)),
+                lease,
+                answer -> {
+                    if (number == registration) {
+                        writeEntry();
+                    }
+                });
+    }
+
     private void writeEntry() {
         long number = registration;
         store.write(
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettings.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettings.java
@@ -10,6 +10,7 @@
  *
  * @param name the name of the VM
  * @param zone its availability zone
+ * @param linkMbps the bandwidth of its link in Mbit/s; 0 if it is not known
  * @param firstStart whether the whole cluster starts for the first time
  * @param callers the listen address for callers
  * @param readiness the listen address for the platform's readiness checks
@@ -27,6 +28,7 @@
 public record GatewaySettings(
         String name,
         AvailabilityZone zone,
+        int linkMbps,
         boolean firstStart,
         InetSocketAddress callers,
         InetSocketAddress readiness,
--- a/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/settings/GatewaySettingsLoader.java
@@ -21,6 +21,7 @@
  * }</pre>
  */
 public final class GatewaySettingsLoader {
+    private static final double MAX_LINK_MBPS = 1e6;
     private static final double MAX_RETRIES = 1e6;
     private static final double MAX_QUOTA_EXCESS = 1e12;
     private static final double MAX_ROLLOUT_SLACK = 1e6;
@@ -50,6 +51,7 @@
         return new GatewaySettings(
                 name,
                 SettingsFile.zone(node),
+                (int) Math.ceil(node.number("link_mbps", 0, 0, MAX_LINK_MBPS)),
                 node.bool("first_start", false),
                 listen.address("callers"),
                 listen.address("readiness"),
--- a/wire/src/test/java/org/carobdoor/wire/StatusTrafficTest.java
+++ b/wire/src/test/java/org/carobdoor/wire/StatusTrafficTest.java
@@ -35,6 +35,9 @@
     /** The rest is for requests, answers and the store. */
     private static final double LINK_FRACTION = 0.5;
 
+    /** The same for slow links in zones that have fast ones. */
+    private static final double SLOW_LINK_FRACTION = 0.2;
+
     private static final class Node {
         private final String name;
         private final AvailabilityZone zone;
@@ -64,12 +67,17 @@
     private final SplittableRandom random = new SplittableRandom(1);
     private final List<Node> nodes = new ArrayList<>();
     private final Map<String, Node> byRun = new HashMap<>();
+    private boolean nodesStart;
 
     private void addZone(String zone, int count, int linkMbps) {
+        addNodes(zone, 1, count, linkMbps);
+    }
+
+    private void addNodes(String zone, int firstNumber, int count, int linkMbps) {
         for (int i = 0; i < count; i++) {
             Node n =
                     new Node(
-                            "front-" + zone + "-" + (i + 1),
+                            "front-" + zone + "-" + (firstNumber + i),
                             new AvailabilityZone(zone),
                             linkMbps,
                             random.nextLong(SECOND / 3));
@@ -78,6 +86,18 @@
         }
     }
 
+    private void introduceNodes() {
+        for (Node n : nodes) {
+            n.exchange.setLink(n.run(), n.linkMbps);
+            for (Node other : nodes) {
+                if (n != other) {
+                    n.exchange.add(other.run(), other.zone);
+                    n.exchange.setLink(other.run(), other.linkMbps);
+                }
+            }
+        }
+    }
+
     /** The status of a node with work at nine endpoints and for a third of the accounts. */
     private NodeStatus status(Node n, long now) {
         List<AccountUse> accounts = new ArrayList<>();
@@ -124,7 +144,7 @@
 
     private void send(Node from, long now) {
         Map<PeerMessage, Integer> sizes = new IdentityHashMap<>();
-        for (StatusExchange.Outgoing o : from.exchange.next(status(from, now), false, now)) {
+        for (StatusExchange.Outgoing o : from.exchange.next(status(from, now), nodesStart, now)) {
             from.bytes +=
                     sizes.computeIfAbsent(
                             o.message(),
@@ -152,14 +172,7 @@
         for (int z = 0; z < zones; z++) {
             addZone("zone-" + z, (count + z) / zones, linkMbps);
         }
-        nodes.forEach(
-                n ->
-                        nodes.forEach(
-                                other -> {
-                                    if (n != other) {
-                                        n.exchange.add(other.run(), other.zone);
-                                    }
-                                }));
+        introduceNodes();
         run(0, 3 * SECOND);
         nodes.forEach(n -> n.bytes = 0);
         run(3 * SECOND, 8 * SECOND);
@@ -169,4 +182,25 @@
                     .isLessThan(LINK_FRACTION);
         }
     }
+
+    /** Clusters whose zones have two nodes with 140 Mbit/s; the others have 7. */
+    @ParameterizedTest
+    @CsvSource({"62, 4", "65, 3"})
+    void fastLinksCarryTheStatusesWhileAllNodesStart(int count, int zones) {
+        for (int z = 0; z < zones; z++) {
+            addNodes("zone-" + z, 1, 2, 140);
+            addNodes("zone-" + z, 3, (count + z) / zones - 2, 7);
+        }
+        introduceNodes();
+        nodesStart = true;
+        for (int second = 0; second < 5; second++) {
+            nodes.forEach(n -> n.bytes = 0);
+            run(second * SECOND, (second + 1) * SECOND);
+            for (Node n : nodes) {
+                assertWithMessage("share of the link of %s in second %s", n.name, second)
+                        .that(n.linkShare(1))
+                        .isLessThan(n.linkMbps > 7 ? LINK_FRACTION : SLOW_LINK_FRACTION);
+            }
+        }
+    }
 }
