Let nodes with fast links watch the store for their zone (DRAIN, CONFIG)

Cause: the nodes that watch the store for a zone send each change to half of it. They were ranked by name, without regard to their links, and relays were passed over, since they send the most already.

Change: the fastest links of the zone are chosen, to a power of two, as for relays; among these, relays come last as before.

Why it works: what half a zone needs takes a twentieth of the time on a link that is twenty times as fast, and a relay with such a link has most of it left. Silent nodes are passed over as before.

Tests: StoreReaderPlanTest.nodesWithFastLinksAreReaders; StoreReadersTest starts 25 nodes and expects the two with fast links to watch, through the settings and the store; both fail without the change.

--- a/core/src/main/java/org/carobdoor/internal/peers/RelayPlan.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/RelayPlan.java
@@ -130,7 +130,7 @@
     }
 
     /** Returns the order of magnitude of a link, so that small differences do not decide. */
-    private static int linkClass(Peer peer) {
+    static int linkClass(Peer peer) {
         return Integer.SIZE - Integer.numberOfLeadingZeros(peer.linkMbps());
     }
 
--- a/core/src/main/java/org/carobdoor/internal/peers/StoreReaderPlan.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StoreReaderPlan.java
@@ -1,7 +1,7 @@
 package org.carobdoor.internal.peers;
 
-import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -51,19 +51,16 @@
         String ownRun = own.run();
         Set<RelayPlan.Peer> zonePeers = new LinkedHashSet<>(others);
         zonePeers.add(own);
-        List<RelayPlan.Peer> candidates =
-                zonePeers.stream()
-                        .filter(p -> p.run().equals(ownRun) || !silent.contains(p.run()))
-                        .toList();
-        List<RelayPlan.Peer> unloaded = new ArrayList<>(candidates);
-        unloaded.removeAll(RelayPlan.relaysOf(zonePeers));
-        if (unloaded.size() >= READERS_PER_ZONE) {
-            // Relays send the most already.
-            candidates = unloaded;
-        }
-        // Ranked by name, so that a node that restarts keeps its place.
+        List<RelayPlan.Peer> relays = RelayPlan.relaysOf(zonePeers);
+        // Ranked by name, so that a node that restarts keeps its place. Relays send the most
+        // already, which is little for a faster link.
         List<RelayPlan.Peer> readers =
-                Rendezvous.rank("store", candidates, p -> NodeStatus.nodeOf(p.run())).stream()
+                Rendezvous.rank("store", zonePeers, p -> NodeStatus.nodeOf(p.run())).stream()
+                        .filter(p -> p.run().equals(ownRun) || !silent.contains(p.run()))
+                        .sorted(
+                                Comparator.comparingInt(RelayPlan::linkClass)
+                                        .reversed()
+                                        .thenComparing(relays::contains))
                         .limit(READERS_PER_ZONE)
                         .toList();
         if (!readers.contains(own)) {
--- a/core/src/test/java/org/carobdoor/internal/peers/StoreReaderPlanTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/StoreReaderPlanTest.java
@@ -79,6 +79,26 @@
         assertServed(live, silent);
     }
 
+    @Test
+    void nodesWithFastLinksAreReaders() {
+        List<RelayPlan.Peer> fast =
+                runs(2).stream().map(run -> new RelayPlan.Peer(run, ZONE, 140)).toList();
+        List<RelayPlan.Peer> zone = new ArrayList<>(fast);
+        runs(15).subList(2, 15).forEach(run -> zone.add(new RelayPlan.Peer(run, ZONE, 7)));
+        for (RelayPlan.Peer own : zone) {
+            assertThat(StoreReaderPlan.inZone(own, zone, Set.of()).reader())
+                    .isEqualTo(fast.contains(own));
+        }
+        Set<String> silent = Set.of(fast.get(0).run(), fast.get(1).run());
+        List<RelayPlan.Peer> live = zone.subList(2, 15);
+        assertThat(live.stream().filter(p -> isReader(p, zone, silent)).count()).isEqualTo(2);
+    }
+
+    private static boolean isReader(
+            RelayPlan.Peer own, List<RelayPlan.Peer> zone, Set<String> silent) {
+        return StoreReaderPlan.inZone(own, zone, silent).reader();
+    }
+
     @Test
     void smallClustersHaveNoReaders() {
         List<RelayPlan.Peer> others = peers(runs(24));
--- a/node/src/test/java/org/carobdoor/node/gateway/StoreReadersTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/StoreReadersTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.carobdoor.standins.gateway.CloudStandIn;
 import org.carobdoor.standins.gateway.StoreStandIn;
@@ -21,6 +22,9 @@
 
     private static final int PREFIXES = 3;
 
+    /** The nodes with fast links, which should watch for the others. */
+    private static final Set<Integer> FAST = Set.of(9, 17);
+
     private final List<TestGateway> nodes = new ArrayList<>();
 
     @SuppressWarnings("NullAway.Init")
@@ -35,7 +39,8 @@
         cloud = CloudStandIn.start();
         store.put("op/config", TestGateway.configuration(1, ""));
         for (int i = 0; i < NODES; i++) {
-            nodes.add(TestGateway.start("n" + i, store, cloud));
+            int link = FAST.contains(i) ? 140 : 7;
+            nodes.add(TestGateway.startWithLink("n" + i, store, cloud, link));
         }
     }
 
@@ -76,6 +81,9 @@
             TestGateway.await(n::isReady);
         }
         TestGateway.await(() -> count("reading") == 2 && count("served") == NODES - 2);
+        for (int i = 0; i < NODES; i++) {
+            assertThat(nodes.get(i).total(MODE, "reading") > 0).isEqualTo(FAST.contains(i));
+        }
 
         long before = calls();
         TimeUnit.SECONDS.sleep(4);
--- a/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/TestGateway.java
@@ -47,6 +47,7 @@
             name = "%s"
             availability_zone = "a"
             first_start = %s
+            link_mbps = %d
             [listen]
             callers = "127.0.0.1:%d"
             readiness = "127.0.0.1:%d"
@@ -98,25 +99,32 @@
 
     /** Starts a node of a cluster that has been running before. */
     static TestGateway startAgain(String name, StoreStandIn store, CloudStandIn cloud) {
-        return start(name, false, store.address(), cloud, INITIAL_RETRIES, "");
+        return start(name, false, 0, store.address(), cloud, INITIAL_RETRIES, "");
     }
 
     /** Starts a node that rolls out versions, within an exposure limit of {@code share}. */
     static TestGateway startWithRollouts(
             String name, StoreStandIn store, CloudStandIn cloud, double share) {
         String bounds = "rollout_share = " + share + "\nrollout_slack = 50";
-        return start(name, true, store.address(), cloud, INITIAL_RETRIES, bounds);
+        return start(name, true, 0, store.address(), cloud, INITIAL_RETRIES, bounds);
+    }
+
+    /** Starts a node with a link of {@code mbps} Mbit/s. */
+    static TestGateway startWithLink(
+            String name, StoreStandIn store, CloudStandIn cloud, int mbps) {
+        return start(name, true, mbps, store.address(), cloud, INITIAL_RETRIES, "");
     }
 
     /** Starts a node that reaches the store at {@code store}. */
     static TestGateway start(
             String name, InetSocketAddress store, CloudStandIn cloud, int savedRetries) {
-        return start(name, true, store, cloud, savedRetries, "");
+        return start(name, true, 0, store, cloud, savedRetries, "");
     }
 
     private static TestGateway start(
             String name,
             boolean firstStart,
+            int linkMbps,
             InetSocketAddress store,
             CloudStandIn cloud,
             int savedRetries,
@@ -126,6 +134,7 @@
                         SETTINGS,
                         name,
                         firstStart,
+                        linkMbps,
                         FreePorts.next(),
                         FreePorts.next(),
                         FreePorts.next(),
