Send a zone's statuses to all other relays while one of its own is silent

What callers would see: loads, quotas and revisions of a whole zone that are up to 12 s old at a part of the other zones' nodes, after two relays of that zone have ended at once.

Cause: two relays of a zone serve each relay of the others. If both are silent, it lacks that zone alone, and its nodes cannot tell, since they hear their own relay. The nodes of the zone with the silent relays ask the third, are served, and so stop sending to the others' relays themselves. With equal shares this hit those that the two served both (a third of them), with fast links nearly all.

Change: a relay that serves a node of its own zone on request, the sign that another relay is silent, sends the zone's statuses to all relays of the other zones as long.

Why it works: one relay of the zone that is left is enough, and the request reaches it as it reaches all nodes of its zone.

--- a/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
@@ -194,6 +194,10 @@
                         (ownZone.equals(p.zone) ? members : remote).add(run);
                     }
                 });
+        if (members.size() > plan.members().size()) {
+            // Another relay of the zone is silent, and the zone may be silent to those it serves.
+            remote.addAll(plan.remoteRelays());
+        }
         members.forEach(run -> messages.add(new Outgoing(run, allBatch)));
         remote.forEach(run -> messages.add(new Outgoing(run, zoneBatch)));
     }
--- a/core/src/test/java/org/carobdoor/internal/peers/StatusExchangeTest.java
+++ b/core/src/test/java/org/carobdoor/internal/peers/StatusExchangeTest.java
@@ -38,6 +38,7 @@
     private static final class Node {
         private final String name;
         private final AvailabilityZone zone;
+        private final int linkMbps;
         private final Map<String, Long> heardNanos = new HashMap<>();
         private final Map<String, Map<String, Integer>> loads = new HashMap<>();
         private final Map<String, Integer> ownLoads = new TreeMap<>();
@@ -48,9 +49,10 @@
         private boolean down;
         private long sent;
 
-        Node(String name, AvailabilityZone zone) {
+        Node(String name, AvailabilityZone zone, int linkMbps) {
             this.name = name;
             this.zone = zone;
+            this.linkMbps = linkMbps;
             this.run = NodeStatus.runOf(name, 1);
             this.exchange = StatusExchange.create(run, zone, 0);
         }
@@ -74,9 +76,15 @@
         private long now;
 
         Cluster(int count, int zones, long seed) {
+            this(count, zones, 0, seed);
+        }
+
+        /** Creates a cluster whose zones have {@code fast} nodes with faster links each. */
+        Cluster(int count, int zones, int fast, long seed) {
             random = new Random(seed);
             for (int i = 0; i < count; i++) {
-                Node n = new Node("n" + i, new AvailabilityZone("z" + i % zones));
+                int link = i < zones * fast ? 140 : 7;
+                Node n = new Node("n" + i, new AvailabilityZone("z" + i % zones), link);
                 nodes.add(n);
                 byRun.put(n.run, n);
             }
@@ -85,6 +93,7 @@
         }
 
         private void list(Node at, Node other) {
+            at.exchange.setLink(other.run, other.linkMbps);
             if (at != other) {
                 at.exchange.add(other.run, other.zone);
             }
@@ -308,6 +317,48 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"62, 4, 1", "95, 5, 2", "380, 7, 3"})
+    void zoneThatLosesItsNodesWithFastLinksIsServedByOthers(int count, int zones, long seed) {
+        Cluster c = new Cluster(count, zones, 2, seed);
+        c.run(6 * SECOND);
+        assertThat(c.oldestNews(c.all())).isAtMost(c.maxAgeNanos());
+        Set<Node> healthy = c.all();
+        for (Node n : c.nodes) {
+            if (n.linkMbps > 7 && n.zone.value().equals("z1")) {
+                healthy.remove(n);
+                n.down = true;
+            }
+        }
+        c.run(c.now + 4 * SECOND);
+        for (int i = 0; i < 40; i++) {
+            c.run(c.now + 100 * MILLI);
+            assertThat(c.oldestNews(healthy)).isAtMost(2 * c.maxAgeNanos());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void zoneThatLosesTwoRelaysIsServedByTheThird(long seed) {
+        Cluster c = new Cluster(62, 4, seed);
+        c.run(6 * SECOND);
+        Set<Node> healthy = c.all();
+        c.relays().stream()
+                .filter(n -> n.zone.value().equals("z1"))
+                .limit(2)
+                .forEach(
+                        n -> {
+                            healthy.remove(n);
+                            n.down = true;
+                        });
+        assertThat(healthy).hasSize(60);
+        c.run(c.now + 4 * SECOND);
+        for (int i = 0; i < 40; i++) {
+            c.run(c.now + 100 * MILLI);
+            assertThat(c.oldestNews(healthy)).isAtMost(2 * c.maxAgeNanos());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
     void zoneThatLosesAllRelaysIsServedByOthers(long seed) {
