Derive relays from the links in the store, the own one too

Cause: a node took its own link from its settings, the others take it from the store. A write without a reply can be carried out late and bind the key to an abandoned lease, with which it is deleted; or fail for good, since the entry was written all the same. Then the node has another list of relays than its zone, and does not send its status to one of them.

Change: the own link comes from the store too. A link that is missing there is treated as a missing entry, and a failed write of it like one of the entry: the node registers again. Links of ended runs are forgotten.

Why it works: all nodes derive their plans from the same keys, which are written and deleted together.

Tests: StoreReadersTest (25 nodes whose links come through the store) and StatusExchangeTest pass. The late write itself has no test.

--- a/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
@@ -110,6 +110,7 @@
     /** Removes a run that has ended. */
     public void remove(String run) {
         peers.remove(run);
+        links.remove(run);
     }
 
     /** Returns whether this node was a relay when it last sent its status. */
--- a/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/PeerRegistry.java
@@ -135,7 +135,6 @@
         this.run = self.run();
         this.peerRuns = PeerRuns.create(run);
         this.exchange = StatusExchange.create(run, ownZone, System.nanoTime());
-        exchange.setLink(run, linkMbps);
         this.ownStatus = status;
         this.directoryStale = directoryStale;
         this.census = census;
@@ -253,8 +252,9 @@
 
     /** Records that the store no longer lists the link of a run. */
     void linkUnlisted(String linkRun) {
-        if (!linkRun.equals(run)) {
-            exchange.removeLink(linkRun);
+        exchange.removeLink(linkRun);
+        if (linkRun.equals(run)) {
+            entryMissing = true;
         }
     }
 
@@ -395,8 +395,8 @@
     }
 
     /**
-     * Writes the link before the entry, so that the others know it when they list this run. They
-     * can do without it.
+     * Writes the link before the entry, so that all nodes, this one included, know it when they
+     * list this run, and derive the same relays.
      */
     private void writeLink() {
         if (linkMbps == 0) {
@@ -410,8 +410,13 @@
                 Bytes.utf8(Integer.toString(linkMbps)),
                 lease,
                 answer -> {
-                    if (number == registration) {
+                    if (number != registration) {
+                        return;
+                    }
+                    if (answer instanceof StoreAnswer.Written) {
                         writeEntry();
+                    } else {
+                        schedule(this::register, RETRY_DELAY_MILLIS);
                     }
                 });
     }
