Let all watches call the store as soon as one of them is answered (DRAIN, CONFIG)

What callers saw: after a zone cut, requests went to endpoints that had left during it, for up to 0.8 s after the store answered the node again.

Cause: each watch of a node waits for its own retry after a failure, 0.8 s at most, so one of them can know that the store is back while another one works with an old list. Class: what one part of a node has learned of a shared resource is not told to the parts that wait for it.

Change: StoreWatches, extracted from ControlLoop, keeps the watches. The first one that is answered after a failure lets the others that failed call at once. A watch whose last call was answered is not touched, so a store that is back gets two more calls from each node at most.

Why it works: the other watches need no reply of their own to learn that calls are worth making; a call that fails again has its delay as before.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongConsumer;
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.carobdoor.AvailabilityZone;
 import org.carobdoor.internal.directory.DirectoryFreshness;
@@ -16,11 +15,9 @@
 import org.carobdoor.internal.duty.DutyLease;
 import org.carobdoor.internal.peers.NodeCensus;
 import org.carobdoor.internal.request.PollClock;
-import org.carobdoor.internal.store.NewsFollower;
 import org.carobdoor.internal.store.StoreAnswer;
 import org.carobdoor.internal.store.StoreChange;
 import org.carobdoor.internal.store.StoreItem;
-import org.carobdoor.internal.store.WatchMode;
 import org.carobdoor.internal.store.WatchSchedule;
 import org.carobdoor.message.NodeStatus;
 import org.carobdoor.message.UsageWindow;
@@ -54,12 +51,6 @@
 
     private static final long MAX_BATCH_DELAY_MILLIS = 500;
 
-    /** A node that watches for others adds to their delay, and few nodes do. */
-    private static final long READER_BATCH_DELAY_MILLIS = 200;
-
-    /** The stale limit of a node that watches for others, which rely on its recent replies. */
-    private static final Duration READER_STALE_LIMIT = Duration.ofMillis(1_300);
-
     private static final long TICK_INTERVAL_MILLIS = 200;
 
     private static final long RETRY_SUMMARY_INTERVAL_MILLIS = 1_000;
@@ -87,9 +78,7 @@
     private final String run;
     private final long startedAtMillis;
     private final StoreNewsExchange storeNews;
-    private final RandomGenerator random;
-    private final StoreWatch configurationWatch;
-    private final StoreWatch endpointWatch;
+    private final StoreWatches watches;
     private final StoreWatch nodeKeysWatch;
     private final DirectoryFreshness freshness;
     private final EraChanges eraChanges;
@@ -141,7 +130,6 @@
         quarantineSync =
                 new QuarantineSync(loop, store, network, state.quarantine(), peers::sendToAll, log);
         dutyRunner = settings.cloud().map(a -> newDutyRunner(a, random)).orElse(null);
-        this.random = random;
         storeNews = new StoreNewsExchange(loop, network, peers::storeReaders, polls, log);
         rolloutRunner =
                 new RolloutRunner(
@@ -159,23 +147,22 @@
         }
         streamRecords = new StoreStreamRecords(loop, store, state, peers::nodeCount, run, log);
         Duration staleLimit = settings.bounds().staleLimit();
-        configurationWatch =
-                watch(
-                        rolloutRunner.operatorKeys(),
-                        schedule(staleLimit),
-                        () -> 0,
-                        new ConfigurationListener());
+        watches = new StoreWatches(loop, store, storeNews::add, random, polls, log);
+        watches.add(
+                rolloutRunner.operatorKeys(),
+                schedule(staleLimit),
+                () -> 0,
+                new ConfigurationListener());
         WatchSchedule endpointSchedule = schedule(staleLimit);
         // A watch without a reply for longer may have missed changes.
         freshness = DirectoryFreshness.create(endpointSchedule.budgetNanos(), System.nanoTime());
-        endpointWatch =
-                watch(
-                        StoreKeys.ENDPOINTS_PREFIX,
-                        endpointSchedule,
-                        this::batchDelayMillis,
-                        new EndpointListener());
+        watches.add(
+                StoreKeys.ENDPOINTS_PREFIX,
+                endpointSchedule,
+                this::batchDelayMillis,
+                new EndpointListener());
         nodeKeysWatch =
-                watch(
+                watches.add(
                         NodeStoreKeys.PREFIX,
                         schedule(NODE_KEYS_STALE_LIMIT),
                         this::batchDelayMillis,
@@ -198,9 +185,9 @@
         eraChanges.add(era -> peers.eraBegan());
         eraChanges.add(era -> streamRecords.eraBegan());
         state.setStreamRecords(streamRecords, () -> !isDirectoryStale());
-        readStore();
+        watches.start();
         // After all other listeners, which drop what is not valid in the new era.
-        eraChanges.add(era -> readStore());
+        eraChanges.add(era -> watches.start());
         storeNews.start();
         peers.start();
         quarantineSync.start();
@@ -236,12 +223,6 @@
         state.setNodes(peers.nodeCount(), peers.isNodeCountComplete(), System.nanoTime());
     }
 
-    private void readStore() {
-        configurationWatch.start();
-        endpointWatch.start();
-        nodeKeysWatch.start();
-    }
-
     /** Returns whether the node has the state that it needs to serve requests. */
     public boolean isReady() {
         return state.isReady();
@@ -289,32 +270,6 @@
         rolloutRunner.writeMetrics(to);
     }
 
-    private StoreWatch watch(
-            String prefix,
-            WatchSchedule schedule,
-            LongSupplier batchDelayMillis,
-            StoreWatch.Listener listener) {
-        StoreFeed feed =
-                new StoreFeed(
-                        prefix,
-                        NewsFollower.create(random),
-                        schedule,
-                        schedule(READER_STALE_LIMIT),
-                        store::era,
-                        polls,
-                        listener,
-                        log);
-        LongSupplier delay =
-                () ->
-                        feed.mode() == WatchMode.READING
-                                ? Math.min(READER_BATCH_DELAY_MILLIS, batchDelayMillis.getAsLong())
-                                : batchDelayMillis.getAsLong();
-        StoreWatch watch = new StoreWatch(loop, store, prefix, schedule, delay, feed, log);
-        feed.setWatch(watch);
-        storeNews.add(feed);
-        return watch;
-    }
-
     /** Checks the watch with the longest waits if another one had no reply. */
     private void checkNodeKeysWatch(StoreAnswer answer) {
         if (answer instanceof StoreAnswer.Unknown) {
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -43,7 +43,9 @@
     private final LongSupplier batchDelayMillis;
     private final Listener listener;
     private final DecisionLog log;
+    private Runnable onRegained = () -> {};
     private boolean storeUnavailable;
+    private boolean reading;
     private boolean replyPending;
     private boolean paused;
     private long callNumber;
@@ -84,6 +86,7 @@
         }
         callNumber++;
         replyPending = false;
+        reading = true;
         readPages(++readNumber, new ArrayList<>(), "", Long.MAX_VALUE);
     }
 
@@ -92,6 +95,11 @@
         schedule = newSchedule;
     }
 
+    /** Sets what runs when a call is answered after one that failed. */
+    void onRegained(Runnable task) {
+        onRegained = task;
+    }
+
     /** Makes no calls until {@link #resume}; a pending reply is ignored. */
     void pause() {
         paused = true;
@@ -153,8 +161,24 @@
         }
     }
 
+    /**
+     * Calls again without waiting for the end of a delay after a failure, or for the reply to a
+     * call that was made after one. Has no effect if the last call was answered.
+     */
+    void retryNow() {
+        if (paused || !storeUnavailable) {
+            return;
+        }
+        if (reading) {
+            start();
+        } else {
+            awaitChanges();
+        }
+    }
+
     private void awaitChanges() {
         long number = ++callNumber;
+        reading = false;
         replyPending = true;
         store.watch(
                 prefix,
@@ -193,11 +217,15 @@
 
     private void handleSuccess() {
         schedule.recordReply(System.nanoTime());
-        if (storeUnavailable) {
-            storeUnavailable = false;
+        boolean regained = storeUnavailable;
+        storeUnavailable = false;
+        if (regained) {
             log.line("store.regained").add("prefix", prefix).write();
         }
         listener.callSucceeded(System.nanoTime());
+        if (regained) {
+            onRegained.run();
+        }
     }
 
     private void retry(StoreAnswer answer, Runnable retryTask) {
