Choose relays by links only while all nodes state them (DRAIN)

What callers would have seen: in a rolling update from the release before, in a cluster of more than 24 nodes, nodes of that release were not heard by others for as long as it took. Their use of quotas, their load on endpoints and their part of the usage counted nowhere else.

Cause: the release before derives relays from the names alone, the new one from the links that it registers. A node of the old release sends its status to relays by name; those that run the new release forward nothing, as they are no relays by links. The relays by links serve it all the same, so it never asks for another one. Class: a plan that all nodes derive alike, changed without regard to nodes that derive it in the former way.

Change: links count only while each run that the store lists states its own. A run is listed after its link, so this holds again as soon as the last node of the old release is gone; runs that are known from their statuses alone do not count, and the link of a run that is no longer listed is kept until the run is forgotten, so that the end of a node changes no plan of the others.

Why it works: while one node derives the plan by name, all do.

--- a/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
+++ b/core/src/main/java/org/carobdoor/internal/peers/StatusExchange.java
@@ -53,6 +53,7 @@
 
     private static final class Peer {
         private @Nullable AvailabilityZone zone;
+        private boolean listed;
         private boolean heard;
         private long sequence;
         private boolean synchronizedValues;
@@ -82,12 +83,13 @@
     }
 
     /**
-     * Adds a run of another node.
+     * Adds a run of another node that the store lists.
      *
      * @param zone its zone; null if it is not known
      */
     public void add(String run, @Nullable AvailabilityZone zone) {
         Peer p = peers.computeIfAbsent(run, r -> new Peer());
+        p.listed = true;
         if (zone != null) {
             p.zone = zone;
         }
@@ -102,9 +104,14 @@
         links.put(run, linkMbps);
     }
 
-    /** Forgets the bandwidth of the link of a run. */
+    /**
+     * Records that the bandwidth of the link of a run is no longer listed; one of a known run
+     * stays.
+     */
     public void removeLink(String run) {
-        links.remove(run);
+        if (!peers.containsKey(run) && !run.equals(ownRun)) {
+            links.remove(run);
+        }
     }
 
     /** Removes a run that has ended. */
@@ -124,17 +131,29 @@
      * @param silent the runs from which nothing was heard recently
      */
     public StoreReaderPlan storeReaders(Set<String> silent) {
-        return StoreReaderPlan.of(plannedPeer(ownRun, ownZone), plannedPeers(), silent);
+        boolean useLinks = isEachLinkKnown();
+        return StoreReaderPlan.of(
+                plannedPeer(ownRun, ownZone, useLinks), plannedPeers(useLinks), silent);
     }
 
-    private List<RelayPlan.Peer> plannedPeers() {
+    private List<RelayPlan.Peer> plannedPeers(boolean useLinks) {
         List<RelayPlan.Peer> planned = new ArrayList<>();
-        peers.forEach((run, p) -> planned.add(plannedPeer(run, p.zone)));
+        peers.forEach((run, p) -> planned.add(plannedPeer(run, p.zone, useLinks)));
         return planned;
     }
 
-    private RelayPlan.Peer plannedPeer(String run, @Nullable AvailabilityZone zone) {
-        return new RelayPlan.Peer(run, zone, links.getOrDefault(run, 0));
+    private RelayPlan.Peer plannedPeer(
+            String run, @Nullable AvailabilityZone zone, boolean useLinks) {
+        return new RelayPlan.Peer(run, zone, useLinks ? links.getOrDefault(run, 0) : 0);
+    }
+
+    /**
+     * Returns whether all listed runs state their links. Those of a release that knows none choose
+     * relays without them, and all nodes have to choose the same ones.
+     */
+    private boolean isEachLinkKnown() {
+        return peers.entrySet().stream()
+                .allMatch(e -> !e.getValue().listed || links.containsKey(e.getKey()));
     }
 
     /** Returns the interval between two calls of {@link #next}. */
@@ -156,7 +175,9 @@
             NodeStatus status = changes.next(own, nodesStart, false, false);
             return peers.keySet().stream().map(run -> new Outgoing(run, status)).toList();
         }
-        RelayPlan plan = RelayPlan.of(plannedPeer(ownRun, ownZone), plannedPeers());
+        boolean useLinks = isEachLinkKnown();
+        RelayPlan plan =
+                RelayPlan.of(plannedPeer(ownRun, ownZone, useLinks), plannedPeers(useLinks));
         relay = plan.relay();
         boolean unserved = nowNanos - servedNanos > (long) (intervalNanos() * SILENT_INTERVALS);
         NodeStatus status = changes.next(own, nodesStart, true, unserved);
