Look up streams that are taken up right after a reset of connections (ORDER, LOST)

What callers saw: when all connections were reset, callers whose streams had broken took them up again within 0.15 s and got 503 with unknown_version. Many came back after 0.4 s and were served, at the price of a try; some had none left.

Cause: the reset meets the node's own calls to the store as well. The first call that failed made the list of endpoints count as out of date, and each take-up that the node did not know itself was refused, though the store was there. Class: one failed call taken for an outage.

Change: DirectoryFreshness tells a list that may be out of date from a store that is lost, which it is 0.5 s after the first failed call. Until then the records are read. While the list may be out of date, a record of the stream is the only thing that decides; without one, or if the read fails, a second look follows 0.45 s later. A store that is lost refuses at once, as before.

Why it works: a record names the version that began the stream, whatever the list of endpoints says. That only one version serves is still concluded from an up-to-date list alone, so nothing is joined that was not before.

Evidence: ResumedStreamVersionTest.streamTakenUpRightAfterFailedCallsOfTheStore GoesOn fails without the change in two of two runs.

--- a/core/src/main/java/org/carobdoor/internal/directory/DirectoryFreshness.java
+++ b/core/src/main/java/org/carobdoor/internal/directory/DirectoryFreshness.java
@@ -9,9 +9,13 @@
  * not from when the message was read. Not thread-safe.
  */
 public final class DirectoryFreshness {
+    /** Time in which a node replaces connections that were reset, and has an answer again. */
+    private static final long RECONNECT_NANOS = 500_000_000L;
+
     private final long maxAgeNanos;
     private long provenNanos;
     private boolean failing;
+    private long failingSinceNanos;
 
     private DirectoryFreshness(long maxAgeNanos, long nowNanos) {
         this.maxAgeNanos = maxAgeNanos;
@@ -40,13 +44,25 @@
     }
 
     /** Records that a call of the store failed. */
-    public void recordFailure() {
-        failing = true;
+    public void recordFailure(long nowNanos) {
+        if (!failing) {
+            failing = true;
+            failingSinceNanos = nowNanos;
+        }
+    }
+
+    /** Returns whether the store has not answered for longer than it takes to connect again. */
+    public boolean isStoreLost(long nowNanos) {
+        return isOld(nowNanos) || failing && nowNanos - failingSinceNanos > RECONNECT_NANOS;
     }
 
     /** Returns whether the list may lack changes. */
     public boolean isStale(long nowNanos) {
-        return failing || nowNanos - provenNanos > maxAgeNanos;
+        return failing || isOld(nowNanos);
+    }
+
+    private boolean isOld(long nowNanos) {
+        return nowNanos - provenNanos > maxAgeNanos;
     }
 
     /** Returns the time since the list was last known to be complete, in milliseconds. */
--- a/core/src/test/java/org/carobdoor/internal/directory/DirectoryFreshnessTest.java
+++ b/core/src/test/java/org/carobdoor/internal/directory/DirectoryFreshnessTest.java
@@ -34,9 +34,21 @@
     @Test
     void failedCallMakesTheListStaleUntilTheNextProof() {
         freshness.recordProof(1_000 * MILLI);
-        freshness.recordFailure();
+        freshness.recordFailure(1_050 * MILLI);
         assertThat(freshness.isStale(1_100 * MILLI)).isTrue();
         freshness.recordProof(1_200 * MILLI);
         assertThat(freshness.isStale(1_300 * MILLI)).isFalse();
     }
+
+    @Test
+    void storeIsNotLostByTheFirstFailedCall() {
+        freshness.recordProof(1_000 * MILLI);
+        freshness.recordFailure(1_050 * MILLI);
+        freshness.recordFailure(1_500 * MILLI);
+        assertThat(freshness.isStoreLost(1_500 * MILLI)).isFalse();
+        assertThat(freshness.isStoreLost(1_600 * MILLI)).isTrue();
+        freshness.recordProof(1_600 * MILLI);
+        assertThat(freshness.isStoreLost(1_700 * MILLI)).isFalse();
+        assertThat(freshness.isStoreLost(3_300 * MILLI)).isTrue();
+    }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -184,7 +184,10 @@
     public void start() {
         eraChanges.add(era -> peers.eraBegan());
         eraChanges.add(era -> streamRecords.eraBegan());
-        state.setStreamRecords(streamRecords, () -> !isDirectoryStale());
+        state.setStreamRecords(
+                streamRecords,
+                () -> !isDirectoryStale(),
+                () -> freshness.isStoreLost(System.nanoTime()));
         watches.start();
         // After all other listeners, which drop what is not valid in the new era.
         eraChanges.add(era -> watches.start());
@@ -445,7 +448,7 @@
 
         @Override
         public void callFailed(StoreAnswer answer) {
-            freshness.recordFailure();
+            freshness.recordFailure(System.nanoTime());
             checkNodeKeysWatch(answer);
             directory.recordStoreUnavailable(System.nanoTime());
         }
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/ForwardingState.java
@@ -49,6 +49,7 @@
     private LongSupplier newsAge = () -> 0;
     private StreamRecords streamRecords = StreamRecords.NONE;
     private BooleanSupplier directoryCurrent = () -> true;
+    private BooleanSupplier storeLost = () -> true;
     private boolean configured;
     private boolean ready;
 
@@ -241,10 +242,13 @@
      * Sets where the streams of other nodes and earlier runs are recorded.
      *
      * @param current whether the endpoints are up to date
+     * @param lost whether the store has not answered for a while
      */
-    public void setStreamRecords(StreamRecords records, BooleanSupplier current) {
+    public void setStreamRecords(
+            StreamRecords records, BooleanSupplier current, BooleanSupplier lost) {
         streamRecords = records;
         directoryCurrent = current;
+        storeLost = lost;
     }
 
     StreamRecords streamRecords() {
@@ -255,6 +259,10 @@
         return directoryCurrent.getAsBoolean();
     }
 
+    boolean isStoreLost() {
+        return storeLost.getAsBoolean();
+    }
+
     /** Records the versions of the endpoints of all services. */
     public void recordVersions(long nowNanos) {
         configuration.ifPresent(c -> c.services().forEach(s -> recordVersions(s.name(), nowNanos)));
--- a/node/src/main/java/org/carobdoor/node/gateway/forward/VersionBinding.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/forward/VersionBinding.java
@@ -76,41 +76,54 @@
         boolean current = state.isDirectoryCurrent();
         switch (streams.decide(streamId(), call.service().name(), current, now)) {
             case ResumeDecision.Only(String only) -> bind(only, "node", onDetermined);
-            case ResumeDecision.AskStore a -> {
-                if (current) {
-                    askStore(true, onDetermined, onUnknown);
-                } else {
-                    refuse("no_answer", SOON_MILLIS, onUnknown);
-                }
-            }
+            case ResumeDecision.AskStore a -> askStore(true, onDetermined, onUnknown);
             case ResumeDecision.Unknown u -> refuse("node", SOON_MILLIS, onUnknown);
         }
     }
 
     private void askStore(boolean first, Runnable onDetermined, LongConsumer onUnknown) {
-        state.streamRecords()
-                .read(
-                        stored -> {
-                            if (call.exchange().isEnded()) {
-                                return;
-                            }
-                            if (stored.isEmpty()) {
-                                refuse("no_answer", SOON_MILLIS, onUnknown);
-                            } else if (decide(stored.get())
-                                    instanceof ResumeDecision.Only(String only)) {
-                                bind(only, "store", onDetermined);
-                            } else if (first && mayAppear(stored.get())) {
-                                askAgain(onDetermined, onUnknown);
-                            } else {
-                                refuse("store", first ? SOON_MILLIS : NEVER_MILLIS, onUnknown);
-                            }
-                        });
-    }
-
-    private ResumeDecision decide(StoredStarts stored) {
+        if (state.isStoreLost()) {
+            refuse("no_answer", SOON_MILLIS, onUnknown);
+            return;
+        }
+        state.streamRecords().read(stored -> handleRecords(stored, first, onDetermined, onUnknown));
+    }
+
+    private void handleRecords(
+            Optional<StoredStarts> stored,
+            boolean first,
+            Runnable onDetermined,
+            LongConsumer onUnknown) {
+        if (call.exchange().isEnded()) {
+            return;
+        }
+        boolean current = state.isDirectoryCurrent();
+        if (stored.isPresent()
+                && decide(stored.get(), current) instanceof ResumeDecision.Only(String only)) {
+            bind(only, "store", onDetermined);
+        } else if (first && mayBeKnownSoon(stored, current)) {
+            askAgain(onDetermined, onUnknown);
+        } else if (stored.isEmpty() || !current) {
+            refuse("no_answer", SOON_MILLIS, onUnknown);
+        } else {
+            refuse("store", first ? SOON_MILLIS : NEVER_MILLIS, onUnknown);
+        }
+    }
+
+    /**
+     * Decides with the records in the store.
+     *
+     * @param current whether the endpoints are up to date; only a record of the stream counts
+     *     otherwise
+     */
+    private ResumeDecision decide(StoredStarts stored, boolean current) {
         String service = call.service().name();
         return streams.decide(
-                streamId(), service, stored, oldestStartAgeMillis(), System.nanoTime());
+                streamId(),
+                service,
+                stored,
+                current ? oldestStartAgeMillis() : OptionalLong.empty(),
+                System.nanoTime());
     }
 
     private OptionalLong oldestStartAgeMillis() {
@@ -122,11 +135,18 @@
                 .max();
     }
 
-    /** Returns whether another node may still record the stream. */
+    /**
+     * Returns whether a second look may tell the version: after connections to the store were
+     * reset, or if another node may still record the stream.
+     */
+    private boolean mayBeKnownSoon(Optional<StoredStarts> stored, boolean current) {
+        boolean reconnecting = (stored.isEmpty() || !current) && !state.isStoreLost();
+        return call.remainingMillis(System.nanoTime()) > MIN_WAIT_MILLIS
+                && (reconnecting || stored.filter(this::mayAppear).isPresent());
+    }
+
     private boolean mayAppear(StoredStarts stored) {
-        return !streamId().isEmpty()
-                && stored.mixedServices().contains(call.service().name())
-                && call.remainingMillis(System.nanoTime()) > MIN_WAIT_MILLIS;
+        return !streamId().isEmpty() && stored.mixedServices().contains(call.service().name());
     }
 
     private void askAgain(Runnable onDetermined, LongConsumer onUnknown) {
--- a/node/src/test/java/org/carobdoor/node/gateway/ResumedStreamVersionTest.java
+++ b/node/src/test/java/org/carobdoor/node/gateway/ResumedStreamVersionTest.java
@@ -142,6 +142,30 @@
         takeUpStreams();
     }
 
+    /** As after a reset of the node's connections to the store. */
+    @Test
+    void streamTakenUpRightAfterFailedCallsOfTheStoreGoesOn() throws Exception {
+        beginStreams();
+        restartNode();
+        store.setDown(true);
+        TimeUnit.MILLISECONDS.sleep(50);
+        store.setDown(false);
+        takeUpStreams();
+    }
+
+    @Test
+    void streamIsRefusedAtOnceWhileTheStoreIsAway() throws Exception {
+        beginStreams();
+        restartNode();
+        store.setDown(true);
+        TimeUnit.SECONDS.sleep(2);
+        long start = System.nanoTime();
+        HttpResponse<String> r = takeUp("s-0");
+        assertThat(r.statusCode()).isEqualTo(503);
+        assertThat(r.body()).contains("unknown_version");
+        assertThat(System.nanoTime() - start).isLessThan(TimeUnit.MILLISECONDS.toNanos(400));
+    }
+
     @Test
     void streamIsNotContinuedAfterItsVersionHasLeft() throws Exception {
         beginStreams();
