--- a/core/src/main/java/org/carobdoor/internal/quarantine/CrashQuarantine.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/CrashQuarantine.java
@@ -205,6 +205,16 @@
         return table.dueSteps(nowNanos, nowMillis);
     }
 
+    /** Records that the store has not carried out a write. */
+    public void stepFailed(QuarantineStoreStep step) {
+        table.stepFailed(step);
+    }
+
+    /** Records that the store answers again, so that writes which failed can be made. */
+    public void storeRegained(long nowNanos) {
+        table.storeRegained(nowNanos);
+    }
+
     /** Records that a write has taken effect. */
     public void stepWritten(QuarantineStoreStep step, long revision, long nowNanos) {
         if (step instanceof QuarantineStoreStep.Delete) {
--- a/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
+++ b/core/src/main/java/org/carobdoor/internal/quarantine/QuarantineTable.java
@@ -91,6 +91,8 @@
         long trialUntilNanos;
         boolean deletionWanted;
         boolean rewriteWanted;
+        boolean decidedHere;
+        boolean writeFailed;
 
         Held(QuarantineEntry entry, long heldSinceNanos) {
             this.entry = entry;
@@ -154,6 +156,7 @@
             return false;
         }
         Held h = new Held(entry, nowNanos);
+        h.decidedHere = decidedHere;
         h.writeDueNanos =
                 nowNanos + (decidedHere ? FIRST_WRITE_DELAY_NANOS : randomWriteDelayNanos());
         insert(h);
@@ -329,6 +332,7 @@
                 if (step != null) {
                     steps.add(step);
                     h.writeDueNanos = nowNanos + randomWriteDelayNanos();
+                    h.writeFailed = false;
                 }
             }
         }
@@ -362,6 +366,26 @@
         return null;
     }
 
+    /** Records that the store has not carried out a step. */
+    void stepFailed(QuarantineStoreStep step) {
+        Held h = entries.get(step.pattern());
+        if (h != null) {
+            h.writeFailed = true;
+        }
+    }
+
+    /**
+     * Records that the store answers again: the entries that this node has decided and could not
+     * write are due, before a restart of all nodes can lose them.
+     */
+    void storeRegained(long nowNanos) {
+        for (Held h : entries.values()) {
+            if (h.revision == 0 && h.decidedHere && h.writeFailed) {
+                h.writeDueNanos = nowNanos;
+            }
+        }
+    }
+
     /** Applies the result of a step that was written at {@code revision}. */
     void stepWritten(QuarantineStoreStep step, long revision, long nowNanos) {
         Held h = entries.get(step.pattern());
--- a/core/src/test/java/org/carobdoor/internal/quarantine/CrashQuarantineTest.java
+++ b/core/src/test/java/org/carobdoor/internal/quarantine/CrashQuarantineTest.java
@@ -216,6 +216,22 @@
                                 StoreRevision.of(2, 3)));
     }
 
+    @Test
+    void entryThatCouldNotBeWrittenIsWrittenAsSoonAsTheStoreAnswersAgain() {
+        crash("i-1", 0, request(DEADLY));
+        crash("i-2", SECOND, request(DEADLY));
+        long decided = 2 * SECOND;
+        q.applyOwn(report("i-3", decided, request(DEADLY)), decided, millis(decided));
+        long tried = 3 * SECOND;
+        QuarantineStoreStep step = q.dueSteps(tried, millis(tried)).getFirst();
+        q.storeRegained(tried);
+        assertThat(q.dueSteps(tried, millis(tried))).isEmpty();
+        q.stepFailed(step);
+        q.storeRegained(tried + SECOND / 2);
+        assertThat(q.dueSteps(tried + SECOND / 2, millis(tried + SECOND / 2)))
+                .containsExactly(step);
+    }
+
     @Test
     void entryThatEndedIsDeletedAgain() {
         quarantine(0, DEADLY);
--- a/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/ControlLoop.java
@@ -148,6 +148,7 @@
         streamRecords = new StoreStreamRecords(loop, store, state, peers::nodeCount, run, log);
         Duration staleLimit = settings.bounds().staleLimit();
         watches = new StoreWatches(loop, store, storeNews::add, random, polls, log);
+        watches.onRegained(quarantineSync::storeRegained);
         watches.add(
                 rolloutRunner.operatorKeys(),
                 schedule(staleLimit),
--- a/node/src/main/java/org/carobdoor/node/gateway/control/QuarantineSync.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/QuarantineSync.java
@@ -127,6 +127,12 @@
         QuarantineRecord.pattern(key).ifPresent(p -> quarantine.remove(p, revision));
     }
 
+    /** Makes the writes that failed while the store was away. */
+    void storeRegained() {
+        quarantine.storeRegained();
+        writeDueSteps();
+    }
+
     private void writeDueSteps() {
         for (QuarantineStoreStep step : quarantine.dueSteps()) {
             String key = QuarantineRecord.key(step.pattern());
@@ -153,6 +159,9 @@
         } else {
             // A conflict means that another node wrote first; its entry arrives by the watch. After
             // any other answer the step becomes due again.
+            if (!(answer instanceof StoreAnswer.Conflict)) {
+                quarantine.stepFailed(step);
+            }
             log.line("quarantine.not_written")
                     .add("step", step.getClass().getSimpleName())
                     .add("pattern", step.pattern())
--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatches.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatches.java
@@ -32,6 +32,7 @@
     private final PollClock polls;
     private final DecisionLog log;
     private final List<StoreWatch> watches = new ArrayList<>();
+    private Runnable onRegained = () -> {};
 
     /**
      * Creates an instance without watches.
@@ -81,7 +82,7 @@
                                 ? Math.min(READER_BATCH_DELAY_MILLIS, batchDelayMillis.getAsLong())
                                 : batchDelayMillis.getAsLong();
         StoreWatch watch = new StoreWatch(loop, store, prefix, schedule, delay, feed, log);
-        watch.onRegained(() -> retryOthers(watch));
+        watch.onRegained(() -> regained(watch));
         feed.setWatch(watch);
         onAdded.accept(feed);
         watches.add(watch);
@@ -93,7 +94,13 @@
         watches.forEach(StoreWatch::start);
     }
 
-    private void retryOthers(StoreWatch regained) {
+    /** Sets what runs when a watch is answered after a failure. */
+    void onRegained(Runnable task) {
+        onRegained = task;
+    }
+
+    private void regained(StoreWatch regained) {
         watches.stream().filter(w -> w != regained).forEach(StoreWatch::retryNow);
+        onRegained.run();
     }
 }
--- a/node/src/main/java/org/carobdoor/node/gateway/quarantine/RequestQuarantine.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/quarantine/RequestQuarantine.java
@@ -187,6 +187,16 @@
         return quarantine.dueSteps(System.nanoTime(), clusterMillis.getAsLong());
     }
 
+    /** Records that the store has not carried out a write. */
+    public void stepFailed(QuarantineStoreStep step) {
+        quarantine.stepFailed(step);
+    }
+
+    /** Records that the store answers again. */
+    public void storeRegained() {
+        quarantine.storeRegained(System.nanoTime());
+    }
+
     /** Records that a write has taken effect. */
     public void stepWritten(QuarantineStoreStep step, long revision) {
         quarantine.stepWritten(step, revision, System.nanoTime());
