Guard the watch against tasks that fail when the store is regained

Cause: a watch that is answered after a failure runs tasks of others before its next call; an exception in one of them would end the watch for good, and the node would work with an old configuration and old endpoints. Read in the code; no run shows it.

Change: they run as GuardedTask, as the listeners of the watch do.

Measured: StoreWatchesTest, SilentStoreTest, RepeatedPlatformReplyTest and StoreFeedTest pass.

--- a/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
+++ b/node/src/main/java/org/carobdoor/node/gateway/control/StoreWatch.java
@@ -224,7 +224,7 @@
         }
         listener.callSucceeded(System.nanoTime());
         if (regained) {
-            onRegained.run();
+            GuardedTask.run("store watch " + prefix + " regained", onRegained, log);
         }
     }
 
